First version: the ARO throttle per core server, guards, adapter

The mechanism of the design page (f = min(fA, fO), learned target, Determ. accumulator, first choice then one load-weighted redraw) decides on all three deployments; calls that are not let through are held.

--- /dev/null
+++ b/src/bin/fawnrouter-benchlink/translate.rs
@@ -0,0 +1,334 @@
+//! The wire's names and numbers, to and from the library's types.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fawnrouter::*;
+use serde_json::{Value, json};
+
+/// The names that calls of an instance may carry.
+pub struct Names {
+    classes: BTreeMap<String, ClassId>,
+    tenants: BTreeMap<String, TenantId>,
+    report: Vec<String>,
+}
+
+/// A wire event, as far as the adapter tells them apart.
+pub enum Incoming {
+    Open { seed: u64, settings: Box<Settings>, names: Names },
+    Shutdown,
+    List { number: u64, entries: Vec<ServerEntry> },
+    Update { kind: ListKind, list: u64 },
+    Event(Event),
+}
+
+type Result<T> = std::result::Result<T, String>;
+
+/// The values of one message, with their places for error messages.
+struct Fields<'a>(&'a [Value]);
+
+impl<'a> Fields<'a> {
+    fn get(&self, place: usize) -> &'a Value {
+        self.0.get(place).unwrap_or(&Value::Null)
+    }
+
+    fn want<T>(&self, place: usize, name: &str, get: impl Fn(&'a Value) -> Option<T>) -> Result<T> {
+        let value = self.get(place);
+        get(value).ok_or_else(|| format!("{name} is missing or mistyped: {value}"))
+    }
+
+    fn number(&self, place: usize, name: &str) -> Result<u64> {
+        self.want(place, name, whole)
+    }
+
+    fn text(&self, place: usize, name: &str) -> Result<&'a str> {
+        self.want(place, name, Value::as_str)
+    }
+
+    fn span(&self, place: usize, name: &str) -> Result<Duration> {
+        Ok(Duration::from_nanos(self.number(place, name)?))
+    }
+
+    fn small<T>(&self, place: usize, name: &str, wrap: impl Fn(u32) -> T) -> Result<T> {
+        self.want(place, name, |v| whole(v).and_then(|n| u32::try_from(n).ok())).map(wrap)
+    }
+
+    fn call(&self, place: usize) -> Result<CallId> {
+        let hex = self.text(place, "ticket")?;
+        let id = (hex.len() == 16).then(|| u64::from_str_radix(hex, 16).ok()).flatten();
+        id.map(CallId).ok_or_else(|| format!("ticket is not 16 hex digits: {hex}"))
+    }
+}
+
+/// A whole number; a negative one counts as 0.
+fn whole(value: &Value) -> Option<u64> {
+    value.as_u64().or_else(|| value.as_i64().map(|n| n.max(0).unsigned_abs()))
+}
+
+pub fn incoming(item: &Value, names: Option<&Names>) -> Result<Incoming> {
+    let all = item.as_array().ok_or("an event is not an array")?;
+    let name = all.first().and_then(Value::as_str).ok_or("an event has no name")?;
+    let f = Fields(&all[1..]);
+    let started = || names.ok_or_else(|| "the gateway has not been started".to_owned());
+    let event = match name {
+        "openInstance" => {
+            let (settings, names) = settings(f.want(1, "bootInfo", |v| v.as_object().map(|_| v))?)?;
+            return Ok(Incoming::Open { seed: f.number(0, "prng")?, settings: Box::new(settings), names });
+        }
+        "shutdown" => return Ok(Incoming::Shutdown),
+        "roster" => {
+            let lines = f.want(1, "lines", Value::as_array)?;
+            let entries = lines.iter().map(entry).collect::<Result<Vec<_>>>()?;
+            let entries = entries.into_iter().flatten().collect();
+            return Ok(Incoming::List { number: f.number(0, "buffer")?, entries });
+        }
+        "update" => {
+            let kind = match f.text(0, "how")? {
+                "diff" => ListKind::Changes,
+                "snapshot" => ListKind::Whole,
+                "disk" => ListKind::Cached,
+                "error" => ListKind::Failed,
+                other => return Err(format!("how is unknown: {other}")),
+            };
+            let list = if kind == ListKind::Failed { 0 } else { f.number(1, "buffer")? };
+            return Ok(Incoming::Update { kind, list });
+        }
+        "req" => Event::Call(new_call(&f, started()?)?),
+        "headers" => Event::Standing {
+            call: f.call(0)?,
+            attempt: f.small(1, "shot", AttemptNo)?,
+            server: f.small(2, "switch", ServerId)?,
+            took: f.span(3, "tookNs")?,
+        },
+        "closedAttempt" => Event::Closed {
+            call: f.call(0)?,
+            server: f.small(1, "switch", ServerId)?,
+            done: f.want(2, "doneFlag", Value::as_bool)?,
+            took: f.span(3, "tookNs")?,
+            outcome: outcome(f.number(4, "stateCode")?)?,
+            note: note(whole(f.get(5)).unwrap_or(0)),
+            attempt: f.small(6, "shot", AttemptNo)?,
+            report: report(f.get(7), started()?),
+        },
+        "lapsed" => Event::Lapsed(f.call(0)?),
+        "timeoutFired" => {
+            let mark = f.text(0, "mark")?;
+            let timer = mark.parse().map_err(|_| format!("mark is none of ours: {mark}"))?;
+            Event::Timer(TimerId(timer))
+        }
+        "probed" => Event::Probed {
+            ok: f.number(0, "stateCode")? == 0,
+            server: f.small(1, "switch", ServerId)?,
+            took: Duration::from_nanos(whole(f.get(2)).unwrap_or(0)),
+            report: report(f.get(3), started()?),
+        },
+        "mail" => Event::Mail { from: f.small(0, "neighbour", PeerId)?, text: f.text(1, "raw")?.to_owned() },
+        other => return Err(format!("unknown event {other}")),
+    };
+    Ok(Incoming::Event(event))
+}
+
+fn new_call(f: &Fields<'_>, names: &Names) -> Result<NewCall> {
+    let class = names.classes.get(f.text(1, "tierClass")?).copied();
+    let opts = whole(f.get(7)).unwrap_or(0);
+    Ok(NewCall {
+        id: f.call(0)?,
+        class,
+        left: f.span(2, "leftNs")?,
+        number: f.get(3).as_str().unwrap_or("").into(),
+        width: f.get(4).as_f64().unwrap_or(1.0),
+        tenant: f.get(6).as_str().and_then(|t| names.tenants.get(t)).copied(),
+        redialled: opts & 2 != 0,
+        transit: opts & 8 != 0,
+        destination: f.small(8, "terminatesAt", Cell)?,
+    })
+}
+
+/// A line of a list; `None` where its state is not known.
+fn entry(line: &Value) -> Result<Option<ServerEntry>> {
+    let f = Fields(line.as_array().ok_or("a line of the list is not an array")?);
+    let state = match f.text(4, "stageState")? {
+        "Ready" => ServerState::Ready,
+        "Terminating" => ServerState::Draining,
+        "Gone" => ServerState::Gone,
+        _ => return Ok(None),
+    };
+    Ok(Some(ServerEntry {
+        id: f.small(0, "switch", ServerId)?,
+        zone: f.text(1, "locality")?.into(),
+        cell: f.small(3, "cell", Cell)?,
+        state,
+        up_since: whole(f.get(6)).filter(|t| *t > 0).map(Time::from_nanos),
+    }))
+}
+
+fn outcome(code: u64) -> Result<Outcome> {
+    Ok(match code {
+        0 => Outcome::Ended,
+        5 => Outcome::Error,
+        11 => Outcome::Full,
+        110 => Outcome::TimedOut,
+        111 => Outcome::ConnectFailed,
+        104 => Outcome::Reset,
+        125 => Outcome::Cancelled,
+        114 => Outcome::Moot,
+        other => return Err(format!("stateCode is unknown: {other}")),
+    })
+}
+
+fn note(reason: u64) -> Note {
+    match (reason % 16, reason / 16) {
+        (1, _) => Note::NoCircuit,
+        (2, beyond) => Note::TurnedBack(beyond > 0),
+        (3, 0) => Note::ProcessorFull(None),
+        (3, wait) => Note::ProcessorFull(Some(Duration::from_millis(wait))),
+        (4, _) => Note::NumberBusy,
+        _ => Note::None,
+    }
+}
+
+/// A load report: pairs of name and value, or the values in the order of the settings' names.
+fn report(load: &Value, names: &Names) -> Report {
+    let mut report = Report::default();
+    let mut set = |name: &str, value: &Value| {
+        let Some(x) = value.as_f64().filter(|x| x.is_finite() && *x >= 0.0) else { return };
+        match name {
+            "free" => report.free = Some(x),
+            "size" => report.size = Some(x),
+            "cpu_share" => report.utilisation = Some(x),
+            "svc_ms" => report.wait = Duration::try_from_secs_f64(x / 1e3).ok(),
+            "can_take" => report.can_take = Some(x),
+            "hold_back" => report.hold_back = Some(x),
+            _ => {}
+        }
+    };
+    match load {
+        Value::Object(pairs) => pairs.iter().for_each(|(name, value)| set(name, value)),
+        Value::Array(values) => names.report.iter().zip(values).for_each(|(name, value)| set(name, value)),
+        _ => {}
+    }
+    report
+}
+
+/// An optional setting; where it is present it must be of the right kind.
+fn optional<T>(at: &Value, key: &str, get: impl Fn(&Value) -> Option<T>) -> Result<Option<T>> {
+    match at.get(key) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => get(value).map(Some).ok_or_else(|| format!("setting {key} is mistyped: {value}")),
+    }
+}
+
+fn span(at: &Value, key: &str) -> Result<Duration> {
+    Ok(Duration::from_nanos(optional(at, key, Value::as_u64)?.unwrap_or(0)))
+}
+
+fn settings(boot: &Value) -> Result<(Settings, Names)> {
+    let empty = json!({});
+    let part = |key: &str| boot.get(key).unwrap_or(&empty);
+    let (contract, family, limits) = (part("contract"), part("familyInfo"), part("policyLimits"));
+    let flag = |at: &Value, key: &str| Ok::<_, String>(optional(at, key, Value::as_bool)?.unwrap_or(false));
+    let list =
+        |at: &Value, key: &str| optional(at, key, |v| v.as_array().cloned()).map(Option::unwrap_or_default);
+    let pools = list(family, "skilledPools")?;
+    let mut names = Names { classes: BTreeMap::new(), tenants: BTreeMap::new(), report: Vec::new() };
+    let mut classes = Vec::new();
+    for (place, class) in list(boot, "classes")?.iter().enumerate() {
+        let name = class.get("name").and_then(Value::as_str).ok_or("a class has no name")?.to_owned();
+        let effect = match class.get("effect").and_then(Value::as_str) {
+            None | Some("read_like") => Effect::Safe,
+            Some("idempotency_key") => Effect::Keyed {
+                group: match class.get("group").and_then(Value::as_str) {
+                    Some("zone") => RepeatGroup::Zone,
+                    Some("cell") => RepeatGroup::Cell,
+                    _ => RepeatGroup::All,
+                },
+                window: span(class, "dedupWindowNs")?,
+            },
+            Some(_) => Effect::Unsafe,
+        };
+        let cells = pools.get(place).and_then(Value::as_array);
+        classes.push(ClassSettings {
+            aim: span(class, "onTimeNs")?,
+            deadline: span(class, "hardLimitNs")?,
+            points: optional(class, "points", Value::as_f64)?.unwrap_or(1.0),
+            late_share: optional(class, "lateShare", Value::as_f64)?.unwrap_or(0.0),
+            effect,
+            pools: cells.map(|c| c.iter().filter_map(small).map(Cell).collect()),
+            name: name.clone(),
+        });
+        names.classes.insert(name, ClassId(place));
+    }
+    let mut tenants = Vec::new();
+    for (place, party) in list(boot, "parties")?.iter().enumerate() {
+        let name = party.get("name").and_then(Value::as_str).ok_or("a tenant has no name")?.to_owned();
+        tenants.push(TenantSettings {
+            name: name.clone(),
+            quota_per_s: optional(party, "quotaPerS", Value::as_f64)?,
+        });
+        names.tenants.insert(name, TenantId(place));
+    }
+    names.report =
+        list(part("stats"), "names")?.iter().filter_map(|v| v.as_str().map(str::to_owned)).collect();
+    let topology =
+        match (family.get("topology").and_then(Value::as_str), family.get("homeNo").and_then(small)) {
+            (Some("mesh"), Some(home)) => Topology::Mesh { home: Cell(home) },
+            _ => Topology::Pools,
+        };
+    let ask = boot.get("registryMode").and_then(Value::as_str) == Some("ask");
+    let settings = Settings {
+        gateways: optional(boot, "balancers", small)?.unwrap_or(0),
+        me: PeerId(optional(boot, "me", small)?.unwrap_or(0)),
+        classes,
+        tenants,
+        over_share_worth: optional(boot, "overShareWorth", Value::as_f64)?.unwrap_or(1.0),
+        rules: Rules {
+            drain_grace: span(contract, "drainGraceNs")?,
+            cold_from: optional(contract, "coldFrom", Value::as_f64)?.unwrap_or(1.0),
+            cold_time: span(contract, "coldNs")?,
+            fall_multiple: optional(contract, "fallMultiple", Value::as_f64)?.unwrap_or(1.0),
+            fall_time: span(contract, "fallNs")?,
+            release_guard: span(family, "guardNs")?,
+            ask_within: span(contract, "askWithinNs")?,
+        },
+        limits: Limits {
+            max_attempts: optional(limits, "maxAttempts", small)?.unwrap_or(u32::MAX),
+            cancel: flag(limits, "cancel")?,
+            peers: flag(limits, "peers")?,
+            probes: flag(limits, "probes")?,
+            retry_after: flag(limits, "retryAfter")?,
+            max_retry_after: span(limits, "maxRetryAfterNs")?,
+        },
+        topology,
+        discovery: if ask { Discovery::Ask } else { Discovery::Push },
+        resend: Some(span(family, "resendNs")?).filter(|t| !t.is_zero()),
+        tick: span(boot, "tickNs")?,
+    };
+    Ok((settings, names))
+}
+
+fn small(value: &Value) -> Option<u32> {
+    value.as_u64().and_then(|n| u32::try_from(n).ok())
+}
+
+fn nanos(span: Duration) -> u64 {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
+}
+
+fn ticket(call: CallId) -> String {
+    format!("{:016x}", call.0)
+}
+
+pub fn outgoing(action: Action) -> Value {
+    match action {
+        Action::Issue { call, server, within } => json!(["issue", ticket(call), server.0, nanos(within)]),
+        Action::Cancel { call, attempt } => json!(["revoke", ticket(call), attempt.0]),
+        Action::Refuse { call, retry_after } => json!(["reject", ticket(call), nanos(retry_after)]),
+        Action::Fail(call) => json!(["lose", ticket(call)]),
+        Action::SetTimer { after, timer } => json!(["after", nanos(after), timer.0.to_string()]),
+        Action::Probe(server) => json!(["poll", server.0]),
+        Action::Tell { to, text } => json!(["writePeer", to.map(|p| p.0), text]),
+        Action::Subscribe => json!(["follow", true]),
+        Action::FetchList => json!(["listAll"]),
+        Action::Log(line) => json!(["log", line]),
+    }
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,779 @@
+//! All decisions of fawnrouter. Types, events and actions are in `src/interface.rs`; the design and its
+//! exceptions are explained in `docs/design.md`. "ARO" and "Determ." are those of the signaling-overload paper.
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{sync::Arc, time::Duration};
+
+use rand_chacha::ChaCha8Rng;
+use rand_core::{RngCore, SeedableRng};
+
+use crate::interface::*;
+
+// ---- Constants: unit, reason, source ------------------------------------------------------------------
+/// Probe interval. A gateway sees a few set-ups a second for a server: shorter ones hold none. Ours.
+const TICK: Duration = Duration::from_millis(200);
+/// Assessments average the last k ticks (paper 4.3).
+const K_SHORT: usize = 5;
+/// Ticks between two updates of µmax (paper 4.3: K >> k).
+const K_LONG: u32 = 10;
+/// Weight of a new µmax; the paper asks for a small one.
+const LEARN_WEIGHT: f64 = 0.15;
+/// ρtarg: by the delay reading, a mean set-up delay of 1 / (1 - ρtarg) times the smallest.
+const RHO_TARGET: f64 = 0.8;
+/// µmax is learned from this occupancy on (design page).
+const RHO_LEARN: f64 = 0.3;
+/// φmax: the fraction allowed grows by this much a tick at the most.
+const PHI_MAX: f64 = 1.25;
+/// fmin: keeps samples coming, so that no server stays shut out.
+const F_MIN: f64 = 0.05;
+/// Growth of the smallest delay a second, so that one lucky sample does not stand for ever.
+const FLOOR_AGEING: f64 = 0.01;
+/// Between two looks at the calls held; deadlines are kept to within two of these.
+const SWEEP: Duration = Duration::from_millis(20);
+/// Far queue: share of the aim that own unanswered set-ups may wait before no more are sent.
+const FAR_SHARE: f64 = 0.2;
+/// Share of the rule's cold budget that is used, for work other than set-ups and for chance.
+const COLD_SHARE: f64 = 0.5;
+/// A server that answered nothing for this share of the aim while asked is suspected of a hang.
+const SILENT_SHARE: f64 = 0.5;
+/// First and longest pause between trials of a suspected server.
+const TRIAL: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
+/// A silence of this length may have been a restart: the server is taken for cold.
+const RESTART_SILENCE: Duration = Duration::from_secs(3);
+/// A number is hot with this many calls in `NUMBER_MEMORY`.
+const HOT_CALLS: u32 = 5;
+/// How long a number is remembered after its last call.
+const NUMBER_MEMORY: Duration = Duration::from_secs(10);
+/// Share of its worth that a hot number's call counts for when calls compete.
+const HOT_WORTH: f64 = 0.1;
+/// Seconds of its quota that a tenant may use at once.
+const QUOTA_BURST_S: f64 = 4.0;
+/// Between two questions for the list after a failure, as a share of the longest allowed.
+const ASK_SHARE: u32 = 8;
+const TICK_TIMER: TimerId = TimerId(0);
+
+// ---- The ARO throttle, one for each server -----------------------------------------------------------
+/// Fraction allowed from acceptance rate and occupancy, applied by the deterministic accumulator.
+#[derive(Debug)]
+pub(crate) struct Throttle {
+    pub(crate) f: f64,
+    r: f64,
+    passed: u32,
+    counts: VecDeque<f64>,
+    readings: VecDeque<Option<f64>>,
+    pub(crate) mu_max: Option<f64>,
+    ticks: u32,
+}
+
+impl Throttle {
+    pub(crate) fn new() -> Self {
+        let (counts, readings) = (VecDeque::new(), VecDeque::new());
+        Self { f: 1.0, r: 0.0, passed: 0, counts, readings, mu_max: None, ticks: 0 }
+    }
+
+    /// Determ.: r gains f; at 1 or more r loses 1 and the set-up goes.
+    pub(crate) fn draw(&mut self) -> bool {
+        self.r += self.f;
+        let passes = self.r >= 1.0;
+        if passes {
+            self.r -= 1.0;
+        }
+        passes
+    }
+
+    pub(crate) fn count_passed(&mut self) {
+        self.passed += 1;
+    }
+
+    /// α̂: set-ups passed a second, mean of the last k ticks.
+    pub(crate) fn acceptance(&self) -> f64 {
+        let n = self.counts.len().max(1) as f64;
+        self.counts.iter().sum::<f64>() / (n * TICK.as_secs_f64())
+    }
+
+    /// ρ̂: mean of the readings in the last k ticks, if there are any.
+    pub(crate) fn occupancy(&self) -> Option<f64> {
+        let n = self.readings.iter().flatten().count();
+        (n > 0).then(|| self.readings.iter().flatten().sum::<f64>() / n as f64)
+    }
+
+    /// Ends a tick: f = min(fA, fO).
+    pub(crate) fn assess(&mut self, reading: Option<f64>) {
+        self.counts.push_back(f64::from(self.passed));
+        self.readings.push_back(reading);
+        self.passed = 0;
+        if self.counts.len() > K_SHORT {
+            self.counts.pop_front();
+            self.readings.pop_front();
+        }
+        let (alpha, rho) = (self.acceptance(), self.occupancy());
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(K_LONG) && rho.is_some_and(|x| x >= RHO_LEARN) && alpha > 0.0 {
+            let seen = alpha / rho.unwrap_or(1.0);
+            self.mu_max = Some(self.mu_max.map_or(seen, |mu| mu + LEARN_WEIGHT * (seen - mu)));
+        }
+        // No reading at all (nothing sent, nothing unanswered) is no sign of load: f may grow.
+        let phi = rho.map_or(PHI_MAX, |x| (RHO_TARGET / x.max(1e-6)).min(PHI_MAX));
+        let f_o = (phi * self.f).clamp(F_MIN, 1.0);
+        let armed = self.readings.iter().flatten().any(|x| *x > RHO_TARGET);
+        let f_a = match self.mu_max {
+            Some(mu) if armed && alpha > 0.0 => (RHO_TARGET * mu / alpha * self.f).clamp(F_MIN, 1.0),
+            _ => 1.0,
+        };
+        self.f = f_a.min(f_o);
+    }
+}
+
+// ---- A server's health -------------------------------------------------------------------------------
+#[derive(Debug)]
+struct Server {
+    entry: ServerEntry,
+    throttle: Throttle,
+    floor: Option<f64>,
+    samples: u32,
+    tick_delays: (f64, u32),
+    tick_full: bool,
+    mean_delay: Option<f64>,
+    slow_reading: f64,
+    answered: VecDeque<Time>,
+    last_answer: Time,
+    waiting: BTreeSet<(Time, CallId)>,
+    suspect: Option<(Time, Time, Duration)>,
+    cold: Option<(Time, Time)>,
+    cold_sends: VecDeque<Time>,
+    shut_until: Time,
+    utilisation: Option<f64>,
+    free: Option<f64>,
+    pressed: bool,
+}
+
+impl Server {
+    fn new(entry: ServerEntry, now: Time) -> Self {
+        Self {
+            entry,
+            throttle: Throttle::new(),
+            floor: None,
+            samples: 0,
+            tick_delays: (0.0, 0),
+            tick_full: false,
+            mean_delay: None,
+            slow_reading: 0.0,
+            answered: VecDeque::new(),
+            last_answer: now,
+            waiting: BTreeSet::new(),
+            suspect: None,
+            cold: None,
+            cold_sends: VecDeque::new(),
+            shut_until: Time::default(),
+            utilisation: None,
+            free: None,
+            pressed: false,
+        }
+    }
+
+    /// The set-up delay seen, as a reading of occupancy: 1 - smallest / mean.
+    fn note_delay(&mut self, delay: f64) {
+        self.tick_delays.0 += delay;
+        self.tick_delays.1 += 1;
+        self.samples += 1;
+        self.floor = Some(self.floor.map_or(delay, |x| x.min(delay)).max(1e-4));
+    }
+
+    /// Ends a tick. Guards against delays that nobody sees yet: the age of an unanswered set-up that already
+    /// exceeds the usual delay counts as one, so a hang shows within a second. It answers for stalls and
+    /// slow servers too; it could do harm where single answers are lost, which f then forgives in k ticks.
+    fn tick(&mut self, now: Time, floor: Option<f64>) {
+        let (mut sum, mut n) = self.tick_delays;
+        let usual = self.mean_delay.unwrap_or(0.0).max(2.0 * floor.unwrap_or(0.0));
+        for (sent, _) in &self.waiting {
+            let age = now.since(*sent).as_secs_f64();
+            if age > usual {
+                sum += age;
+                n += 1;
+            }
+        }
+        let mean = (n > 0).then(|| sum / f64::from(n));
+        let by_delay = mean.zip(floor).map(|(m, f)| (1.0 - f / m).clamp(0.0, 1.0));
+        let reading = if self.tick_full { Some(1.0) } else { self.utilisation.or(by_delay) };
+        if let Some(m) = mean {
+            self.mean_delay = Some(self.mean_delay.map_or(m, |x| x + 0.4 * (m - x)));
+        } else if self.waiting.is_empty() {
+            self.mean_delay = self.mean_delay.map(|x| x + 0.1 * (floor.unwrap_or(x) - x));
+        }
+        self.slow_reading += 0.1 * (reading.unwrap_or(0.0) - self.slow_reading);
+        self.throttle.assess(reading);
+        self.tick_delays = (0.0, 0);
+        self.tick_full = false;
+        self.utilisation = None;
+        self.floor = self.floor.map(|x| x * (1.0 + FLOOR_AGEING * TICK.as_secs_f64()));
+        while self.answered.front().is_some_and(|t| now.since(*t) > Duration::from_secs(2)) {
+            self.answered.pop_front();
+        }
+    }
+
+    /// Guards against a far queue that feeds itself (repeats, work on given-up set-ups, answers behind
+    /// set-ups): no more is sent while own set-ups wait for longer than a share of the aim, or more are out
+    /// than it answered lately in that time. Also holds back during stalls and hangs. It could do harm where
+    /// the network alone takes that long; then one set-up at a time still goes.
+    fn has_room(&self, now: Time, aim: Duration) -> bool {
+        let far = aim.mul_f64(FAR_SHARE);
+        let rate = self.answered.len() as f64 / 2.0;
+        let most = (rate * far.as_secs_f64() * 2.0).max(2.0);
+        let oldest = self.waiting.first().map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
+        oldest < far && (self.waiting.len() as f64) < most
+    }
+
+    /// Guards rule 4. All gateways together send at most what they send to a warm server now; so each keeps
+    /// to the budget's share that its own present rate has. `usual` is that rate.
+    fn cold_allows(&mut self, now: Time, rules: &Rules, gateways: u32, usual: f64) -> bool {
+        let Some((since, until)) = self.cold else { return true };
+        if now >= until {
+            return true;
+        }
+        let fall = rules.fall_time.as_secs_f64();
+        let done = now.since(since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
+        let part = rules.cold_from + (1.0 - rules.cold_from) * 0.8 * done.min(1.0);
+        let multiple = (rules.fall_multiple * COLD_SHARE).min(1.2);
+        let rate = usual.max(2.0 / f64::from(gateways.max(1)));
+        let budget = (multiple * part * rate * fall).max(0.05);
+        let window = rules.fall_time.mul_f64((1.0 / budget).max(1.0));
+        while self.cold_sends.front().is_some_and(|t| now.since(*t) > window) {
+            self.cold_sends.pop_front();
+        }
+        (self.cold_sends.len() as f64) + 1.0 <= budget.max(1.0)
+    }
+}
+
+// ---- A call's life -----------------------------------------------------------------------------------
+#[derive(Debug)]
+struct Call {
+    new: NewCall,
+    deadline: Time,
+    aim_at: Time,
+    worth: f64,
+    late_share: f64,
+    effect: Effect,
+    attempts: u32,
+    out: Option<(AttemptNo, ServerId)>,
+    standing: bool,
+    not_before: Time,
+    maybe_ran: Option<(Time, ServerId)>,
+    cancelling: bool,
+}
+
+#[derive(Debug)]
+struct NumberLog {
+    first: Time,
+    last: Time,
+    calls: u32,
+    busy: bool,
+}
+
+/// The decisions of one gateway.
+#[derive(Debug)]
+pub struct Controller {
+    settings: Settings,
+    rng: ChaCha8Rng,
+    servers: BTreeMap<ServerId, Server>,
+    calls: BTreeMap<CallId, Call>,
+    held: BTreeSet<CallId>,
+    numbers: BTreeMap<Arc<str>, NumberLog>,
+    quota: Vec<(f64, Time)>,
+    next_tick: Time,
+    next_sweep: Time,
+    listed: bool,
+    asked: Option<Time>,
+    subscribed: bool,
+}
+
+impl Controller {
+    /// A controller that knows its settings and nothing else.
+    ///
+    /// # Errors
+    /// Where the settings hold figures that make no sense.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        Ok(Self {
+            quota: vec![(0.0, Time::default()); settings.tenants.len()],
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            servers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            held: BTreeSet::new(),
+            numbers: BTreeMap::new(),
+            next_tick: Time::default(),
+            next_sweep: Time::default(),
+            listed: false,
+            asked: None,
+            subscribed: false,
+        })
+    }
+
+    /// Takes one event at the clock's reading `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        if self.next_sweep == Time::default() {
+            let phase = TICK.mul_f64(self.unit());
+            self.next_tick = now.plus(phase);
+            self.next_sweep = now;
+        }
+        match event {
+            Event::List { kind, entries } => self.on_list(now, kind, entries, actions),
+            Event::Call(new) => self.on_call(now, new, actions),
+            Event::Standing { call, attempt, server, took } => {
+                let known =
+                    self.calls.get_mut(&call).filter(|c| c.out == Some((attempt, server)) && !c.standing);
+                if let Some(c) = known {
+                    c.standing = true;
+                    self.answered(now, server, call, Some(took), actions);
+                    self.offer_held(now, actions);
+                }
+            }
+            Event::Closed { call, attempt, server, done, outcome, note, report, .. } => {
+                self.on_closed(now, call, (attempt, server), (done, outcome, note), report, actions);
+            }
+            Event::Lapsed(call) => self.forget(call),
+            Event::Timer(_) => {}
+            Event::Probed { server, report, .. } => {
+                if let Some(s) = self.servers.get_mut(&server) {
+                    s.free = report.free.or(s.free);
+                }
+            }
+            Event::Mail { .. } => {}
+        }
+        if now >= self.next_sweep {
+            self.sweep(now, actions);
+            self.next_sweep = now.plus(SWEEP);
+            actions.push(Action::SetTimer { after: SWEEP, timer: TICK_TIMER });
+        }
+    }
+
+    fn unit(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn on_call(&mut self, now: Time, new: NewCall, actions: &mut Vec<Action>) {
+        if self.calls.contains_key(&new.id) {
+            return;
+        }
+        let Some(class) = new.class.and_then(|c| self.settings.classes.get(c.0)).cloned() else {
+            actions.push(Action::Refuse { call: new.id, retry_after: Duration::ZERO });
+            return;
+        };
+        let log = self.numbers.entry(new.number.clone());
+        let log = log.or_insert(NumberLog { first: now, last: now, calls: 0, busy: false });
+        log.calls += 1;
+        log.last = now;
+        let mut worth = class.points;
+        if log.busy || log.calls >= HOT_CALLS {
+            worth *= HOT_WORTH;
+        }
+        if new.tenant.is_some_and(|t| !self.within_quota(now, t)) {
+            worth *= self.settings.over_share_worth;
+        }
+        let id = new.id;
+        let first =
+            if self.numbers[&new.number].calls < HOT_CALLS { self.numbers[&new.number].first } else { now };
+        let call = Call {
+            deadline: now.plus(new.left),
+            aim_at: first.plus(class.aim),
+            worth,
+            late_share: class.late_share,
+            effect: class.effect,
+            attempts: 0,
+            out: None,
+            standing: false,
+            not_before: Time::default(),
+            maybe_ran: None,
+            cancelling: false,
+            new,
+        };
+        self.calls.insert(id, call);
+        self.held.insert(id);
+        if let Some(best) = self.best_held(now) {
+            if self.place(now, best, actions) && best != id {
+                self.place(now, id, actions);
+            }
+        }
+    }
+
+    /// Whether a call of this tenant lies inside this gateway's part of its quota.
+    fn within_quota(&mut self, now: Time, tenant: TenantId) -> bool {
+        let quota = self.settings.tenants.get(tenant.0).and_then(|t| t.quota_per_s);
+        let Some((quota, (level, last))) = quota.zip(self.quota.get_mut(tenant.0)) else { return true };
+        let rate = quota / f64::from(self.settings.gateways);
+        *level = (*level - rate * now.since(*last).as_secs_f64()).max(0.0);
+        *last = now;
+        let within = *level + 1.0 <= (rate * QUOTA_BURST_S).max(1.0);
+        if within {
+            *level += 1.0;
+        }
+        within
+    }
+
+    fn forget(&mut self, call: CallId) {
+        self.held.remove(&call);
+        if let Some(c) = self.calls.remove(&call) {
+            if let Some(s) = c.out.and_then(|(_, server)| self.servers.get_mut(&server)) {
+                s.waiting.retain(|(_, id)| *id != call);
+            }
+        }
+    }
+
+    /// The one final answer of a call that goes no further.
+    fn give_up(&mut self, call: CallId, retry_after: Duration, actions: &mut Vec<Action>) {
+        let Some(c) = self.calls.get(&call) else { return };
+        let refusable = match (c.effect, c.maybe_ran) {
+            (Effect::Safe, _) | (_, None) => c.out.is_none() || c.effect == Effect::Safe,
+            (Effect::Keyed { group, .. }, Some(_)) => group == RepeatGroup::All && c.out.is_none(),
+            (Effect::Unsafe, Some(_)) => false,
+        };
+        if refusable {
+            actions.push(Action::Refuse { call, retry_after });
+        } else {
+            actions.push(Action::Fail(call));
+        }
+        self.forget(call);
+    }
+
+    /// A server gave a sign of life for one of its set-ups.
+    fn answered(
+        &mut self,
+        now: Time,
+        id: ServerId,
+        call: CallId,
+        took: Option<Duration>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        s.waiting.retain(|(_, c)| *c != call);
+        if let Some(took) = took {
+            s.note_delay(took.as_secs_f64());
+            s.answered.push_back(now);
+        }
+        if let Some((since, _, _)) = s.suspect.take() {
+            out.push(Action::Log(format!("server {} answers again", id.0)));
+            if now.since(since) >= RESTART_SILENCE {
+                s.cold = Some((now, now.plus(self.settings.rules.cold_time)));
+                s.cold_sends.clear();
+            }
+        }
+        s.last_answer = now;
+    }
+
+    fn on_closed(
+        &mut self,
+        now: Time,
+        call: CallId,
+        attempt: (AttemptNo, ServerId),
+        (done, outcome, note): (bool, Outcome, Note),
+        report: Report,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(s) = self.servers.get_mut(&attempt.1) {
+            s.free = report.free.or(s.free);
+            s.utilisation = report.utilisation.or(s.utilisation);
+        }
+        let Some(c) = self.calls.get_mut(&call).filter(|c| c.out == Some(attempt)) else { return };
+        let stood = c.standing;
+        c.out = None;
+        if !outcome.never_ran() && c.maybe_ran.is_none() {
+            c.maybe_ran = Some((now, attempt.1));
+        }
+        if outcome.needs_release() {
+            c.not_before = now.plus(self.settings.rules.release_guard);
+        }
+        let cancelled = std::mem::take(&mut c.cancelling);
+        match outcome {
+            _ if stood => {}
+            Outcome::Full | Outcome::Error | Outcome::Ended => {
+                self.answered(now, attempt.1, call, None, actions);
+                if let (Some(s), Note::ProcessorFull(wait)) = (self.servers.get_mut(&attempt.1), note) {
+                    s.tick_full = true;
+                    s.shut_until = now.plus(wait.unwrap_or_default().min(Duration::from_secs(1)));
+                }
+            }
+            _ => self.unanswered(now, attempt.1, call, outcome, cancelled, actions),
+        }
+        if note == Note::NumberBusy
+            && let Some(log) = self.calls.get(&call).and_then(|c| self.numbers.get_mut(&c.new.number))
+        {
+            log.busy = true;
+        }
+        if done || stood {
+            self.forget(call);
+        } else if note == Note::NumberBusy {
+            self.give_up(call, self.settings.limits.max_retry_after, actions);
+        } else {
+            self.held.insert(call);
+            self.place(now, call, actions);
+        }
+        self.offer_held(now, actions);
+    }
+
+    /// A set-up ended with no word from the server. One trial at a time goes there, at growing pauses, until
+    /// it answers. Guards against hangs and dead machines the list still names; also cuts sends into a long
+    /// jam. Could do harm where single answers get lost: one answer ends it.
+    fn unanswered(
+        &mut self,
+        now: Time,
+        id: ServerId,
+        call: CallId,
+        outcome: Outcome,
+        cancelled: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        let sent = s.waiting.iter().find(|(_, c)| *c == call).map(|(t, _)| *t);
+        s.waiting.retain(|(_, c)| *c != call);
+        let silent = sent.is_some_and(|t| s.last_answer < t);
+        if outcome == Outcome::Moot || !(silent || cancelled && s.suspect.is_some()) {
+            return;
+        }
+        s.suspect = match s.suspect {
+            None => {
+                actions.push(Action::Log(format!("server {} is silent, suspected", id.0)));
+                Some((s.last_answer, now.plus(TRIAL.0), TRIAL.0))
+            }
+            Some((since, next, pause)) if now >= next => {
+                let pause = (pause * 2).min(TRIAL.1);
+                Some((since, now.plus(pause), pause))
+            }
+            same => same,
+        };
+    }
+
+    // ---- Routing -------------------------------------------------------------------------------------
+    /// Worth of the call if it goes now.
+    fn worth_now(c: &Call, now: Time) -> f64 {
+        if now > c.aim_at { c.worth * c.late_share } else { c.worth }
+    }
+
+    /// The held call to go first: the most worth, then the nearest aim.
+    fn best_held(&self, now: Time) -> Option<CallId> {
+        let ready = self.held.iter().filter_map(|id| self.calls.get_key_value(id));
+        let ready = ready.filter(|(_, c)| c.out.is_none() && c.not_before <= now);
+        ready
+            .min_by(|(i, a), (j, b)| {
+                let (x, y) = (Self::worth_now(a, now), Self::worth_now(b, now));
+                y.total_cmp(&x).then(a.aim_at.cmp(&b.aim_at)).then(i.cmp(j))
+            })
+            .map(|(id, _)| *id)
+    }
+
+    /// Room has come up somewhere: the best call held draws.
+    fn offer_held(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if let Some(best) = self.best_held(now) {
+            self.place(now, best, actions);
+        }
+    }
+
+    /// First-choice server, else one load-weighted redraw among the rest; each passes its own throttle.
+    fn place(&mut self, now: Time, id: CallId, actions: &mut Vec<Action>) -> bool {
+        let Some(destination) = self.calls.get(&id).map(|c| c.new.destination) else { return false };
+        let mut open: Vec<ServerId> = Vec::new();
+        for server in self.servers.keys().copied().collect::<Vec<_>>() {
+            if self.may_issue(now, id, server) {
+                open.push(server);
+            }
+        }
+        let first = open.iter().copied().find(|s| self.servers[s].entry.cell == destination);
+        if let Some(first) = first {
+            if self.servers.get_mut(&first).is_some_and(|s| s.throttle.draw()) {
+                self.issue(now, id, first, actions);
+                return true;
+            }
+            open.retain(|s| *s != first);
+        }
+        let weight = |s: &Server| (1.0 - s.slow_reading).max(0.05);
+        let total: f64 = open.iter().map(|s| weight(&self.servers[s])).sum();
+        let mut point = self.unit() * total;
+        let choice = open.iter().copied().find(|s| {
+            point -= weight(&self.servers[s]);
+            point < 0.0
+        });
+        let Some(choice) = choice.or(open.last().copied()) else { return false };
+        if self.servers.get_mut(&choice).is_some_and(|s| s.throttle.draw()) {
+            self.issue(now, id, choice, actions);
+            return true;
+        }
+        false
+    }
+
+    /// The one gate that every attempt passes: all rules and guards that can be told beforehand.
+    fn may_issue(&mut self, now: Time, id: CallId, server: ServerId) -> bool {
+        let usual = self.usual_rate();
+        let Some(c) = self.calls.get(&id) else { return false };
+        let Some(zone) = self.servers.get(&server).map(|s| s.entry.zone.clone()) else { return false };
+        let same_group = match (c.effect, c.maybe_ran) {
+            (Effect::Safe, _) | (_, None) => true,
+            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Keyed { group, window }, Some((when, at))) => {
+                let old = self.servers.get(&at).map(|s| (s.entry.zone.clone(), s.entry.cell));
+                let same = match (group, old) {
+                    (RepeatGroup::All, _) => true,
+                    (RepeatGroup::Zone, Some((z, _))) => z == zone,
+                    (RepeatGroup::Cell, Some((_, cell))) => cell == self.servers[&server].entry.cell,
+                    (_, None) => false,
+                };
+                same && now.since(when) + SWEEP < window
+            }
+        };
+        let pools = c.new.class.and_then(|k| self.settings.classes[k.0].pools.as_ref());
+        let aim = c.new.class.map_or(Duration::ZERO, |k| self.settings.classes[k.0].aim);
+        let Some(s) = self.servers.get_mut(&server) else { return false };
+        let route = match self.settings.topology {
+            Topology::Pools => pools.is_none_or(|p| p.contains(&s.entry.cell)),
+            Topology::Mesh { home } => {
+                s.entry.cell != home && (!c.new.transit || s.entry.cell == c.new.destination)
+            }
+        };
+        let trial = s.suspect.is_none_or(|(_, next, _)| now >= next && s.waiting.is_empty());
+        let alive = c.out.is_none() && !c.standing && c.not_before <= now && now.plus(SWEEP) < c.deadline;
+        alive
+            && c.attempts < self.settings.limits.max_attempts
+            && same_group
+            && route
+            && s.entry.state == ServerState::Ready
+            && s.free.is_none_or(|free| free >= c.new.width)
+            && trial
+            && now >= s.shut_until
+            && s.has_room(now, aim)
+            && s.cold_allows(now, &self.settings.rules, self.settings.gateways, usual)
+    }
+
+    /// Set-ups a second that this gateway passes to a warm server.
+    fn usual_rate(&self) -> f64 {
+        let warm = self.servers.values().filter(|s| s.cold.is_none() && s.entry.state == ServerState::Ready);
+        let rates: Vec<f64> = warm.map(|s| s.answered.len() as f64 / 2.0).collect();
+        rates.iter().sum::<f64>() / rates.len().max(1) as f64
+    }
+
+    fn issue(&mut self, now: Time, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
+        let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
+        let within = c.deadline.since(now).saturating_sub(SWEEP);
+        c.out = Some((AttemptNo(c.attempts), server));
+        c.attempts += 1;
+        s.throttle.count_passed();
+        s.waiting.insert((now, id));
+        if s.cold.is_some() {
+            s.cold_sends.push_back(now);
+        }
+        self.held.remove(&id);
+        actions.push(Action::Issue { call: id, server, within });
+    }
+
+    // ---- Time ----------------------------------------------------------------------------------------
+    fn sweep(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if now >= self.next_tick {
+            self.next_tick = now.plus(TICK);
+            self.tick(now, actions);
+        }
+        self.rescue(now, actions);
+        let last = now.plus(SWEEP * 2);
+        let due: Vec<CallId> =
+            self.calls.iter().filter(|(_, c)| !c.standing && c.deadline <= last).map(|(id, _)| *id).collect();
+        for id in due {
+            let overdue =
+                self.calls.get(&id).is_some_and(|c| c.out.is_none() || c.deadline <= now.plus(SWEEP / 4));
+            if overdue {
+                self.give_up(id, Duration::ZERO, actions);
+            }
+        }
+        if self.settings.discovery == Discovery::Ask {
+            let pause = self.settings.rules.ask_within / ASK_SHARE;
+            if !self.subscribed && self.asked.is_none_or(|t| now.since(t) >= pause) {
+                self.asked = Some(now);
+                actions.push(Action::Subscribe);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let least = self.servers.values().filter_map(|s| s.floor).min_by(f64::total_cmp);
+        for (id, s) in &mut self.servers {
+            let floor = if s.samples < 8 { least } else { s.floor };
+            s.tick(now, floor);
+            if s.cold.is_some_and(|(_, until)| now >= until) {
+                s.cold = None;
+            }
+            let pressed = s.throttle.f < if s.pressed { 0.9 } else { 0.5 };
+            if pressed != s.pressed {
+                s.pressed = pressed;
+                let word = if pressed { "pressed" } else { "no longer pressed" };
+                actions.push(Action::Log(format!("server {} {word}, f {:.2}", id.0, s.throttle.f)));
+            }
+        }
+        self.numbers.retain(|_, log| now.since(log.last) < NUMBER_MEMORY);
+        for _ in 0..self.servers.len() {
+            self.offer_held(now, actions);
+        }
+    }
+
+    /// Calls an attempt off whose server has answered nothing since it was sent, while another server does:
+    /// the call can still stand elsewhere. Guards against hangs that the list does not show.
+    fn rescue(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if !self.settings.limits.cancel {
+            return;
+        }
+        let mut calls = Vec::new();
+        for (id, s) in &self.servers {
+            let Some((sent, call)) = s.waiting.first() else { continue };
+            let Some(c) = self.calls.get(call) else { continue };
+            let aim = c.new.class.map_or(Duration::ZERO, |k| self.settings.classes[k.0].aim);
+            let lively =
+                self.servers.iter().any(|(o, t)| o != id && t.last_answer > *sent && t.suspect.is_none());
+            if now.since(*sent) > aim.mul_f64(SILENT_SHARE)
+                && s.last_answer < *sent
+                && lively
+                && !c.cancelling
+            {
+                calls.push(*call);
+            }
+        }
+        for call in calls {
+            let Some(c) = self.calls.get_mut(&call) else { continue };
+            let Some((attempt, _)) = c.out else { continue };
+            c.cancelling = true;
+            actions.push(Action::Cancel { call, attempt });
+        }
+    }
+
+    // ---- The list of servers -------------------------------------------------------------------------
+    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            self.subscribed = false;
+            return;
+        }
+        if kind != ListKind::Cached && self.asked.is_some() {
+            self.subscribed = true;
+        }
+        if kind != ListKind::Changes {
+            for s in self.servers.values_mut().filter(|s| entries.iter().all(|e| e.id != s.entry.id)) {
+                s.entry.state = ServerState::Gone;
+            }
+        }
+        let cold_time = self.settings.rules.cold_time;
+        for entry in entries {
+            let id = entry.id;
+            let fresh = !self.servers.contains_key(&id);
+            let s = self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now));
+            let restarted = s.entry.up_since != entry.up_since && entry.up_since.is_some();
+            if (restarted || fresh) && entry.state == ServerState::Ready {
+                let started = entry.up_since.filter(|t| now.since(*t) < cold_time);
+                // A new id with no start time is new to service, unless this gateway itself has just begun.
+                let since = started.or((fresh && self.listed && entry.up_since.is_none()).then_some(now));
+                if let Some(since) = since {
+                    let (free, waiting) = (s.free, std::mem::take(&mut s.waiting));
+                    *s = Server::new(entry.clone(), now);
+                    (s.free, s.waiting) = (free, waiting);
+                    s.cold = Some((since, since.plus(cold_time)));
+                    actions.push(Action::Log(format!("server {} starts cold", id.0)));
+                }
+            }
+            if s.entry.state != entry.state && entry.state != ServerState::Ready {
+                actions.push(Action::Log(format!("server {} drains or is gone", id.0)));
+            }
+            s.entry = entry;
+        }
+        self.listed = true;
+    }
+}
