--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,8 @@
 const FLOOR_AGEING: f64 = 0.01;
 /// Between two looks at the calls held; deadlines are kept to within two of these.
 const SWEEP: Duration = Duration::from_millis(20);
+/// Final answers are given this long before they are due: a gateway's own process may stand still for a while.
+const ANSWER_MARGIN: Duration = Duration::from_millis(600);
 /// Far queue: share of the aim that own unanswered set-ups may wait before no more are sent.
 const FAR_SHARE: f64 = 0.2;
 /// Share of the rule's cold budget that is used, for work other than set-ups and for chance.
@@ -137,10 +139,9 @@
     answered: VecDeque<Time>,
     last_answer: Time,
     waiting: BTreeSet<(Time, CallId)>,
-    suspect: Option<(Time, Time, Duration)>,
+    suspect: Option<(Time, Duration)>,
     cold: Option<(Time, Time)>,
     cold_sends: VecDeque<Time>,
-    shut_until: Time,
     utilisation: Option<f64>,
     free: Option<f64>,
     pressed: bool,
@@ -163,7 +164,6 @@
             suspect: None,
             cold: None,
             cold_sends: VecDeque::new(),
-            shut_until: Time::default(),
             utilisation: None,
             free: None,
             pressed: false,
@@ -222,6 +222,21 @@
         oldest < far && (self.waiting.len() as f64) < most
     }
 
+    /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
+    /// machines that the list still names, and against a processor so full that it turns set-ups away, which
+    /// costs it work. Could do harm where single answers get lost: the next call that stands ends it.
+    fn suspect_more(&mut self, now: Time, told: Duration, why: &str, actions: &mut Vec<Action>) {
+        let pause = match self.suspect {
+            None => {
+                actions.push(Action::Log(format!("server {} {why}, trials only", self.entry.id.0)));
+                TRIAL.0
+            }
+            Some((next, pause)) if now >= next => (pause * 2).min(TRIAL.1),
+            Some(_) => return,
+        };
+        self.suspect = Some((now.plus(pause.max(told.min(TRIAL.1))), pause));
+    }
+
     /// Guards rule 4. All gateways together send at most what they send to a warm server now; so each keeps
     /// to the budget's share that its own present rate has. `usual` is that rate.
     fn cold_allows(&mut self, now: Time, rules: &Rules, gateways: u32, usual: f64) -> bool {
@@ -449,14 +464,14 @@
             s.note_delay(took.as_secs_f64());
             s.answered.push_back(now);
         }
-        if let Some((since, _, _)) = s.suspect.take() {
-            out.push(Action::Log(format!("server {} answers again", id.0)));
-            if now.since(since) >= RESTART_SILENCE {
-                s.cold = Some((now, now.plus(self.settings.rules.cold_time)));
-                s.cold_sends.clear();
-            }
+        if s.suspect.is_some() && now.since(s.last_answer) >= RESTART_SILENCE {
+            s.cold = Some((now, now.plus(self.settings.rules.cold_time)));
+            s.cold_sends.clear();
         }
         s.last_answer = now;
+        if took.is_some() && s.suspect.take().is_some() {
+            out.push(Action::Log(format!("server {} takes set-ups again", id.0)));
+        }
     }
 
     fn on_closed(
@@ -488,7 +503,7 @@
                 self.answered(now, attempt.1, call, None, actions);
                 if let (Some(s), Note::ProcessorFull(wait)) = (self.servers.get_mut(&attempt.1), note) {
                     s.tick_full = true;
-                    s.shut_until = now.plus(wait.unwrap_or_default().min(Duration::from_secs(1)));
+                    s.suspect_more(now, wait.unwrap_or_default(), "is full", actions);
                 }
             }
             _ => self.unanswered(now, attempt.1, call, outcome, cancelled, actions),
@@ -509,9 +524,7 @@
         self.offer_held(now, actions);
     }
 
-    /// A set-up ended with no word from the server. One trial at a time goes there, at growing pauses, until
-    /// it answers. Guards against hangs and dead machines the list still names; also cuts sends into a long
-    /// jam. Could do harm where single answers get lost: one answer ends it.
+    /// A set-up ended with no word from the server.
     fn unanswered(
         &mut self,
         now: Time,
@@ -525,20 +538,9 @@
         let sent = s.waiting.iter().find(|(_, c)| *c == call).map(|(t, _)| *t);
         s.waiting.retain(|(_, c)| *c != call);
         let silent = sent.is_some_and(|t| s.last_answer < t);
-        if outcome == Outcome::Moot || !(silent || cancelled && s.suspect.is_some()) {
-            return;
+        if outcome != Outcome::Moot && (silent || cancelled && s.suspect.is_some()) {
+            s.suspect_more(now, Duration::ZERO, "is silent", actions);
         }
-        s.suspect = match s.suspect {
-            None => {
-                actions.push(Action::Log(format!("server {} is silent, suspected", id.0)));
-                Some((s.last_answer, now.plus(TRIAL.0), TRIAL.0))
-            }
-            Some((since, next, pause)) if now >= next => {
-                let pause = (pause * 2).min(TRIAL.1);
-                Some((since, now.plus(pause), pause))
-            }
-            same => same,
-        };
     }
 
     // ---- Routing -------------------------------------------------------------------------------------
@@ -626,8 +628,9 @@
                 s.entry.cell != home && (!c.new.transit || s.entry.cell == c.new.destination)
             }
         };
-        let trial = s.suspect.is_none_or(|(_, next, _)| now >= next && s.waiting.is_empty());
-        let alive = c.out.is_none() && !c.standing && c.not_before <= now && now.plus(SWEEP) < c.deadline;
+        let trial = s.suspect.is_none_or(|(next, _)| now >= next && s.waiting.is_empty());
+        let alive =
+            c.out.is_none() && !c.standing && c.not_before <= now && now.plus(ANSWER_MARGIN) < c.deadline;
         alive
             && c.attempts < self.settings.limits.max_attempts
             && same_group
@@ -635,7 +638,6 @@
             && s.entry.state == ServerState::Ready
             && s.free.is_none_or(|free| free >= c.new.width)
             && trial
-            && now >= s.shut_until
             && s.has_room(now, aim)
             && s.cold_allows(now, &self.settings.rules, self.settings.gateways, usual)
     }
@@ -649,7 +651,7 @@
 
     fn issue(&mut self, now: Time, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
-        let within = c.deadline.since(now).saturating_sub(SWEEP);
+        let within = c.deadline.since(now).saturating_sub(ANSWER_MARGIN);
         c.out = Some((AttemptNo(c.attempts), server));
         c.attempts += 1;
         s.throttle.count_passed();
@@ -668,12 +670,14 @@
             self.tick(now, actions);
         }
         self.rescue(now, actions);
-        let last = now.plus(SWEEP * 2);
+        let last = now.plus(ANSWER_MARGIN);
         let due: Vec<CallId> =
             self.calls.iter().filter(|(_, c)| !c.standing && c.deadline <= last).map(|(id, _)| *id).collect();
         for id in due {
-            let overdue =
-                self.calls.get(&id).is_some_and(|c| c.out.is_none() || c.deadline <= now.plus(SWEEP / 4));
+            let overdue = self
+                .calls
+                .get(&id)
+                .is_some_and(|c| c.out.is_none() || c.deadline <= now.plus(ANSWER_MARGIN - SWEEP * 4));
             if overdue {
                 self.give_up(id, Duration::ZERO, actions);
             }
