--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,5 +1,5 @@
 //! All decisions of fawnrouter. Types, events and actions are in `src/interface.rs`; the design and its
-//! exceptions are explained in `docs/design.md`. "ARO" and "Determ." are those of the signaling-overload paper.
+//! exceptions are explained in `docs/design.md`. "ARO" and "Determ." are the signaling-overload paper's.
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::{sync::Arc, time::Duration};
 
@@ -29,7 +29,8 @@
 const FLOOR_AGEING: f64 = 0.01;
 /// Between two looks at the calls held; deadlines are kept to within two of these.
 const SWEEP: Duration = Duration::from_millis(20);
-/// Final answers are given this long before they are due: a gateway's own process may stand still for a while.
+/// Final answers are given this long (and at most a quarter of the try) before they are due: the gateway's
+/// own process may stand still for a while. Milliseconds; ours, from a day with such stalls.
 const ANSWER_MARGIN: Duration = Duration::from_millis(600);
 /// Far queue: share of the aim that own unanswered set-ups may wait before no more are sent.
 const FAR_SHARE: f64 = 0.2;
@@ -262,7 +263,8 @@
 #[derive(Debug)]
 struct Call {
     new: NewCall,
-    deadline: Time,
+    answer_by: Time,
+    margin: Duration,
     aim_at: Time,
     worth: f64,
     late_share: f64,
@@ -387,8 +389,10 @@
         let id = new.id;
         let first =
             if self.numbers[&new.number].calls < HOT_CALLS { self.numbers[&new.number].first } else { now };
+        let margin = ANSWER_MARGIN.min(new.left / 4);
         let call = Call {
-            deadline: now.plus(new.left),
+            answer_by: now.plus(new.left - margin),
+            margin,
             aim_at: first.plus(class.aim),
             worth,
             late_share: class.late_share,
@@ -403,6 +407,10 @@
         };
         self.calls.insert(id, call);
         self.held.insert(id);
+        // Guards against calls that come with next to no time left, as after this process stood still.
+        if margin < SWEEP {
+            return self.give_up(id, Duration::ZERO, actions);
+        }
         if let Some(best) = self.best_held(now) {
             if self.place(now, best, actions) && best != id {
                 self.place(now, id, actions);
@@ -629,8 +637,7 @@
             }
         };
         let trial = s.suspect.is_none_or(|(next, _)| now >= next && s.waiting.is_empty());
-        let alive =
-            c.out.is_none() && !c.standing && c.not_before <= now && now.plus(ANSWER_MARGIN) < c.deadline;
+        let alive = c.out.is_none() && !c.standing && c.not_before <= now && now < c.answer_by;
         alive
             && c.attempts < self.settings.limits.max_attempts
             && same_group
@@ -651,7 +658,7 @@
 
     fn issue(&mut self, now: Time, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
-        let within = c.deadline.since(now).saturating_sub(ANSWER_MARGIN);
+        let within = c.answer_by.since(now);
         c.out = Some((AttemptNo(c.attempts), server));
         c.attempts += 1;
         s.throttle.count_passed();
@@ -670,17 +677,11 @@
             self.tick(now, actions);
         }
         self.rescue(now, actions);
-        let last = now.plus(ANSWER_MARGIN);
-        let due: Vec<CallId> =
-            self.calls.iter().filter(|(_, c)| !c.standing && c.deadline <= last).map(|(id, _)| *id).collect();
-        for id in due {
-            let overdue = self
-                .calls
-                .get(&id)
-                .is_some_and(|c| c.out.is_none() || c.deadline <= now.plus(ANSWER_MARGIN - SWEEP * 4));
-            if overdue {
-                self.give_up(id, Duration::ZERO, actions);
-            }
+        let due = self.calls.iter().filter(|(_, c)| !c.standing && c.answer_by <= now);
+        // An attempt that is out was timed to end a little before; its outcome gets a few sweeps to come in.
+        let due = due.filter(|(_, c)| c.out.is_none() || c.answer_by.plus(c.margin / 2) <= now);
+        for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.give_up(id, Duration::ZERO, actions);
         }
         if self.settings.discovery == Discovery::Ask {
             let pause = self.settings.rules.ask_within / ASK_SHARE;
