Own count of free lines; calls that cannot go block nobody

Cause: a server whose lines were taken was tried again at once, up to maxAttempts, and a held call that no server was open to stood at the head of the queue. Told apart from a full processor by the note (no circuit) and by delays of 60 ms meanwhile.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,6 +38,8 @@
 const COLD_SHARE: f64 = 0.5;
 /// A server that answered nothing for this share of the aim while asked is suspected of a hang.
 const SILENT_SHARE: f64 = 0.5;
+/// A server whose lines were all taken is tried again after this time without news of a free one. Ours.
+const FREE_MEMORY: Duration = Duration::from_secs(2);
 /// First and longest pause between trials of a suspected server.
 const TRIAL: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
 /// A silence of this length may have been a restart: the server is taken for cold.
@@ -144,7 +146,7 @@
     cold: Option<(Time, Time)>,
     cold_sends: VecDeque<Time>,
     utilisation: Option<f64>,
-    free: Option<f64>,
+    free: Option<(f64, Time)>,
     pressed: bool,
 }
 
@@ -277,6 +279,13 @@
     cancelling: bool,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Draw {
+    Went,
+    Refused,
+    NoServer,
+}
+
 #[derive(Debug)]
 struct NumberLog {
     first: Time,
@@ -351,7 +360,7 @@
             Event::Timer(_) => {}
             Event::Probed { server, report, .. } => {
                 if let Some(s) = self.servers.get_mut(&server) {
-                    s.free = report.free.or(s.free);
+                    s.free = report.free.map(|x| (x, now)).or(s.free);
                 }
             }
             Event::Mail { .. } => {}
@@ -411,11 +420,7 @@
         if margin < SWEEP {
             return self.give_up(id, Duration::ZERO, actions);
         }
-        if let Some(best) = self.best_held(now) {
-            if self.place(now, best, actions) && best != id {
-                self.place(now, id, actions);
-            }
-        }
+        self.offer_held(now, actions);
     }
 
     /// Whether a call of this tenant lies inside this gateway's part of its quota.
@@ -492,7 +497,7 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(s) = self.servers.get_mut(&attempt.1) {
-            s.free = report.free.or(s.free);
+            s.free = report.free.map(|x| (x, now)).or(s.free);
             s.utilisation = report.utilisation.or(s.utilisation);
         }
         let Some(c) = self.calls.get_mut(&call).filter(|c| c.out == Some(attempt)) else { return };
@@ -504,14 +509,21 @@
         if outcome.needs_release() {
             c.not_before = now.plus(self.settings.rules.release_guard);
         }
+        if let (true, Some(s)) = (stood, self.servers.get_mut(&attempt.1)) {
+            s.free = s.free.map(|(free, told)| (free.max(0.0) + c.new.width, told));
+        }
         let cancelled = std::mem::take(&mut c.cancelling);
         match outcome {
             _ if stood => {}
             Outcome::Full | Outcome::Error | Outcome::Ended => {
                 self.answered(now, attempt.1, call, None, actions);
-                if let (Some(s), Note::ProcessorFull(wait)) = (self.servers.get_mut(&attempt.1), note) {
-                    s.tick_full = true;
-                    s.suspect_more(now, wait.unwrap_or_default(), "is full", actions);
+                match (self.servers.get_mut(&attempt.1), note) {
+                    (Some(s), Note::ProcessorFull(wait)) => {
+                        s.tick_full = true;
+                        s.suspect_more(now, wait.unwrap_or_default(), "is full", actions);
+                    }
+                    (Some(s), Note::NoCircuit) => s.free = Some((0.0, now)),
+                    _ => {}
                 }
             }
             _ => self.unanswered(now, attempt.1, call, outcome, cancelled, actions),
@@ -525,9 +537,10 @@
             self.forget(call);
         } else if note == Note::NumberBusy {
             self.give_up(call, self.settings.limits.max_retry_after, actions);
+        } else if self.calls.get(&call).is_some_and(|c| c.attempts >= self.settings.limits.max_attempts) {
+            self.give_up(call, Duration::ZERO, actions);
         } else {
             self.held.insert(call);
-            self.place(now, call, actions);
         }
         self.offer_held(now, actions);
     }
@@ -557,28 +570,30 @@
         if now > c.aim_at { c.worth * c.late_share } else { c.worth }
     }
 
-    /// The held call to go first: the most worth, then the nearest aim.
-    fn best_held(&self, now: Time) -> Option<CallId> {
+    /// The calls held, the one to go first at the front: the most worth, then the nearest aim.
+    fn held_in_order(&self, now: Time) -> Vec<CallId> {
         let ready = self.held.iter().filter_map(|id| self.calls.get_key_value(id));
-        let ready = ready.filter(|(_, c)| c.out.is_none() && c.not_before <= now);
-        ready
-            .min_by(|(i, a), (j, b)| {
-                let (x, y) = (Self::worth_now(a, now), Self::worth_now(b, now));
-                y.total_cmp(&x).then(a.aim_at.cmp(&b.aim_at)).then(i.cmp(j))
-            })
-            .map(|(id, _)| *id)
+        let mut ready: Vec<_> = ready.filter(|(_, c)| c.out.is_none() && c.not_before <= now).collect();
+        ready.sort_by(|(i, a), (j, b)| {
+            let (x, y) = (Self::worth_now(a, now), Self::worth_now(b, now));
+            y.total_cmp(&x).then(a.aim_at.cmp(&b.aim_at)).then(i.cmp(j))
+        });
+        ready.into_iter().map(|(id, _)| *id).collect()
     }
 
-    /// Room has come up somewhere: the best call held draws.
+    /// One draw, for an arrival or for room that has come up: the best call held makes it. One that no server
+    /// is open to does not draw and stands in nobody's way.
     fn offer_held(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if let Some(best) = self.best_held(now) {
-            self.place(now, best, actions);
+        for call in self.held_in_order(now) {
+            if self.place(now, call, actions) != Draw::NoServer {
+                break;
+            }
         }
     }
 
     /// First-choice server, else one load-weighted redraw among the rest; each passes its own throttle.
-    fn place(&mut self, now: Time, id: CallId, actions: &mut Vec<Action>) -> bool {
-        let Some(destination) = self.calls.get(&id).map(|c| c.new.destination) else { return false };
+    fn place(&mut self, now: Time, id: CallId, actions: &mut Vec<Action>) -> Draw {
+        let Some(destination) = self.calls.get(&id).map(|c| c.new.destination) else { return Draw::NoServer };
         let mut open: Vec<ServerId> = Vec::new();
         for server in self.servers.keys().copied().collect::<Vec<_>>() {
             if self.may_issue(now, id, server) {
@@ -589,7 +604,7 @@
         if let Some(first) = first {
             if self.servers.get_mut(&first).is_some_and(|s| s.throttle.draw()) {
                 self.issue(now, id, first, actions);
-                return true;
+                return Draw::Went;
             }
             open.retain(|s| *s != first);
         }
@@ -600,12 +615,14 @@
             point -= weight(&self.servers[s]);
             point < 0.0
         });
-        let Some(choice) = choice.or(open.last().copied()) else { return false };
+        let Some(choice) = choice.or(open.last().copied()) else {
+            return if first.is_some() { Draw::Refused } else { Draw::NoServer };
+        };
         if self.servers.get_mut(&choice).is_some_and(|s| s.throttle.draw()) {
             self.issue(now, id, choice, actions);
-            return true;
+            return Draw::Went;
         }
-        false
+        Draw::Refused
     }
 
     /// The one gate that every attempt passes: all rules and guards that can be told beforehand.
@@ -643,7 +660,7 @@
             && same_group
             && route
             && s.entry.state == ServerState::Ready
-            && s.free.is_none_or(|free| free >= c.new.width)
+            && s.free.is_none_or(|(free, told)| free >= c.new.width || now.since(told) > FREE_MEMORY)
             && trial
             && s.has_room(now, aim)
             && s.cold_allows(now, &self.settings.rules, self.settings.gateways, usual)
@@ -662,6 +679,7 @@
         c.out = Some((AttemptNo(c.attempts), server));
         c.attempts += 1;
         s.throttle.count_passed();
+        s.free = s.free.map(|(free, told)| (free - c.new.width, told));
         s.waiting.insert((now, id));
         if s.cold.is_some() {
             s.cold_sends.push_back(now);
