--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,12 +36,16 @@
 const FAR_SHARE: f64 = 0.2;
 /// Share of the rule's cold budget that is used, for work other than set-ups and for chance.
 const COLD_SHARE: f64 = 0.5;
-/// A server that answered nothing for this share of the aim while asked is suspected of a hang.
-const SILENT_SHARE: f64 = 0.5;
+/// An unanswered set-up is called off at this multiple of the usual delay, within these shares of the aim.
+const RESCUE: (f64, f64, f64) = (4.0, 0.2, 0.5);
+/// A set-up answered though sent this much later than another shows that the other's answer is lost.
+const OVERTAKE: Duration = Duration::from_millis(100);
+/// So many set-ups in a row without an answer make a server suspect.
+const MISSES: u32 = 2;
 /// A server whose lines were all taken is tried again after this time without news of a free one. Ours.
 const FREE_MEMORY: Duration = Duration::from_secs(2);
 /// First and longest pause between trials of a suspected server.
-const TRIAL: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
+const TRIAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
 /// A silence of this length may have been a restart: the server is taken for cold.
 const RESTART_SILENCE: Duration = Duration::from_secs(3);
 /// A number is hot with this many calls in `NUMBER_MEMORY`.
@@ -141,6 +145,8 @@
     slow_reading: f64,
     answered: VecDeque<Time>,
     last_answer: Time,
+    answered_up_to: Time,
+    misses: u32,
     waiting: BTreeSet<(Time, CallId)>,
     suspect: Option<(Time, Duration)>,
     cold: Option<(Time, Time)>,
@@ -163,6 +169,8 @@
             slow_reading: 0.0,
             answered: VecDeque::new(),
             last_answer: now,
+            answered_up_to: Time::default(),
+            misses: 0,
             waiting: BTreeSet::new(),
             suspect: None,
             cold: None,
@@ -173,6 +181,13 @@
         }
     }
 
+    /// Own set-ups that still wait in the server's line, oldest first. One that a clearly later one has
+    /// overtaken does not: its answer is lost. Guards against lost messages holding up sends and readings.
+    /// It could do harm at servers that do not work in order, as sends are then held back less.
+    fn in_line(&self) -> impl Iterator<Item = &(Time, CallId)> {
+        self.waiting.iter().filter(|(sent, _)| sent.plus(OVERTAKE) >= self.answered_up_to)
+    }
+
     /// The set-up delay seen, as a reading of occupancy: 1 - smallest / mean.
     fn note_delay(&mut self, delay: f64) {
         self.tick_delays.0 += delay;
@@ -187,7 +202,7 @@
     fn tick(&mut self, now: Time, floor: Option<f64>) {
         let (mut sum, mut n) = self.tick_delays;
         let usual = self.mean_delay.unwrap_or(0.0).max(2.0 * floor.unwrap_or(0.0));
-        for (sent, _) in &self.waiting {
+        for (sent, _) in self.in_line() {
             let age = now.since(*sent).as_secs_f64();
             if age > usual {
                 sum += age;
@@ -221,8 +236,8 @@
         let far = aim.mul_f64(FAR_SHARE);
         let rate = self.answered.len() as f64 / 2.0;
         let most = (rate * far.as_secs_f64() * 2.0).max(2.0);
-        let oldest = self.waiting.first().map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
-        oldest < far && (self.waiting.len() as f64) < most
+        let oldest = self.in_line().next().map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
+        oldest < far && (self.in_line().count() as f64) < most
     }
 
     /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
@@ -473,7 +488,9 @@
     ) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.waiting.retain(|(_, c)| *c != call);
+        s.misses = 0;
         if let Some(took) = took {
+            s.answered_up_to = s.answered_up_to.max(now.minus(took));
             s.note_delay(took.as_secs_f64());
             s.answered.push_back(now);
         }
@@ -559,7 +576,11 @@
         let sent = s.waiting.iter().find(|(_, c)| *c == call).map(|(t, _)| *t);
         s.waiting.retain(|(_, c)| *c != call);
         let silent = sent.is_some_and(|t| s.last_answer < t);
-        if outcome != Outcome::Moot && (silent || cancelled && s.suspect.is_some()) {
+        if outcome == Outcome::Moot || !(silent || cancelled && s.suspect.is_some()) {
+            return;
+        }
+        s.misses += 1;
+        if s.misses >= MISSES {
             s.suspect_more(now, Duration::ZERO, "is silent", actions);
         }
     }
@@ -731,25 +752,25 @@
         }
     }
 
-    /// Calls an attempt off whose server has answered nothing since it was sent, while another server does:
-    /// the call can still stand elsewhere. Guards against hangs that the list does not show.
+    /// Calls an attempt off whose answer was overtaken by a later one, or whose server has answered nothing
+    /// since it was sent while another server does: the call can still stand elsewhere. Guards against lost
+    /// messages and hangs that the list does not show. Could do harm where work on given-up set-ups goes on.
     fn rescue(&mut self, now: Time, actions: &mut Vec<Action>) {
         if !self.settings.limits.cancel {
             return;
         }
         let mut calls = Vec::new();
         for (id, s) in &self.servers {
-            let Some((sent, call)) = s.waiting.first() else { continue };
-            let Some(c) = self.calls.get(call) else { continue };
-            let aim = c.new.class.map_or(Duration::ZERO, |k| self.settings.classes[k.0].aim);
-            let lively =
-                self.servers.iter().any(|(o, t)| o != id && t.last_answer > *sent && t.suspect.is_none());
-            if now.since(*sent) > aim.mul_f64(SILENT_SHARE)
-                && s.last_answer < *sent
-                && lively
-                && !c.cancelling
-            {
-                calls.push(*call);
+            for (sent, call) in &s.waiting {
+                let Some(c) = self.calls.get(call).filter(|c| !c.cancelling) else { continue };
+                let aim = c.new.class.map_or(0.0, |k| self.settings.classes[k.0].aim.as_secs_f64());
+                let lost = sent.plus(OVERTAKE) < s.answered_up_to;
+                let after = (s.mean_delay.unwrap_or(aim) * RESCUE.0).clamp(aim * RESCUE.1, aim * RESCUE.2);
+                let lively = |t: &Server| t.last_answer > *sent && t.suspect.is_none();
+                let hung = now.since(*sent).as_secs_f64() > after && s.last_answer < *sent;
+                if lost || hung && self.servers.iter().any(|(o, t)| o != id && lively(t)) {
+                    calls.push(*call);
+                }
             }
         }
         for call in calls {
