Hung rescue at half the aim only

Cancelling at four times the usual delay cost orders 0.075: set-ups given up there are still worked on.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,7 +37,7 @@
 /// Share of the rule's cold budget that is used, for work other than set-ups and for chance.
 const COLD_SHARE: f64 = 0.5;
 /// An unanswered set-up is called off at this multiple of the usual delay, within these shares of the aim.
-const RESCUE: (f64, f64, f64) = (4.0, 0.2, 0.5);
+const RESCUE: (f64, f64, f64) = (4.0, 0.5, 0.5);
 /// A set-up answered though sent this much later than another shows that the other's answer is lost.
 const OVERTAKE: Duration = Duration::from_millis(100);
 /// So many set-ups in a row without an answer make a server suspect.
