--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,8 +36,8 @@
 const FAR_SHARE: f64 = 0.2;
 /// Share of the rule's cold budget that is used, for work other than set-ups and for chance.
 const COLD_SHARE: f64 = 0.5;
-/// An unanswered set-up is called off at this multiple of the usual delay, within these shares of the aim.
-const RESCUE: (f64, f64, f64) = (4.0, 0.5, 0.5);
+/// An unanswered set-up is called off after this multiple of the usual delay and this share of the aim.
+const RESCUE: (f64, f64) = (2.5, 0.5);
 /// A set-up answered though sent this much later than another shows that the other's answer is lost.
 const OVERTAKE: Duration = Duration::from_millis(100);
 /// So many set-ups in a row without an answer make a server suspect.
@@ -765,7 +765,7 @@
                 let Some(c) = self.calls.get(call).filter(|c| !c.cancelling) else { continue };
                 let aim = c.new.class.map_or(0.0, |k| self.settings.classes[k.0].aim.as_secs_f64());
                 let lost = sent.plus(OVERTAKE) < s.answered_up_to;
-                let after = (s.mean_delay.unwrap_or(aim) * RESCUE.0).clamp(aim * RESCUE.1, aim * RESCUE.2);
+                let after = (s.mean_delay.unwrap_or(0.0) * RESCUE.0).max(aim * RESCUE.1);
                 let lively = |t: &Server| t.last_answer > *sent && t.suspect.is_none();
                 let hung = now.since(*sent).as_secs_f64() > after && s.last_answer < *sent;
                 if lost || hung && self.servers.iter().any(|(o, t)| o != id && lively(t)) {
