Cold budget from the rate of the machine replaced

Cause: after a release the new machine got a quarter of what it could do for 14 s, as the budget was taken from the other servers, which were smaller. A machine in the same pool is now taken to be of the size of the one it replaces; half the rule's multiple is used.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -150,6 +150,7 @@
     waiting: BTreeSet<(Time, CallId)>,
     suspect: Option<(Time, Duration)>,
     cold: Option<(Time, Time)>,
+    best_rate: f64,
     cold_sends: VecDeque<Time>,
     utilisation: Option<f64>,
     free: Option<(f64, Time)>,
@@ -174,6 +175,7 @@
             waiting: BTreeSet::new(),
             suspect: None,
             cold: None,
+            best_rate: 0.0,
             cold_sends: VecDeque::new(),
             utilisation: None,
             free: None,
@@ -226,6 +228,11 @@
         while self.answered.front().is_some_and(|t| now.since(*t) > Duration::from_secs(2)) {
             self.answered.pop_front();
         }
+        // Rises slowly, so that a short burst taken into the queue does not pass for capacity.
+        if self.cold.is_none() {
+            self.best_rate =
+                self.best_rate.max(self.best_rate * 0.95 + 0.05 * self.answered.len() as f64 / 2.0);
+        }
     }
 
     /// Guards against a far queue that feeds itself (repeats, work on given-up set-ups, answers behind
@@ -265,8 +272,8 @@
         let fall = rules.fall_time.as_secs_f64();
         let done = now.since(since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
         let part = rules.cold_from + (1.0 - rules.cold_from) * 0.8 * done.min(1.0);
-        let multiple = (rules.fall_multiple * COLD_SHARE).min(1.2);
-        let rate = usual.max(2.0 / f64::from(gateways.max(1)));
+        let multiple = rules.fall_multiple * COLD_SHARE;
+        let rate = usual.max(self.best_rate).max(2.0 / f64::from(gateways.max(1)));
         let budget = (multiple * part * rate * fall).max(0.05);
         let window = rules.fall_time.mul_f64((1.0 / budget).max(1.0));
         while self.cold_sends.front().is_some_and(|t| now.since(*t) > window) {
@@ -798,6 +805,9 @@
         let cold_time = self.settings.rules.cold_time;
         for entry in entries {
             let id = entry.id;
+            // A machine that replaces another in its pool is taken to be of its size.
+            let same = self.servers.values().filter(|s| s.entry.cell == entry.cell);
+            let best = same.map(|s| s.best_rate).fold(0.0, f64::max);
             let fresh = !self.servers.contains_key(&id);
             let s = self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now));
             let restarted = s.entry.up_since != entry.up_since && entry.up_since.is_some();
@@ -808,7 +818,7 @@
                 if let Some(since) = since {
                     let (free, waiting) = (s.free, std::mem::take(&mut s.waiting));
                     *s = Server::new(entry.clone(), now);
-                    (s.free, s.waiting) = (free, waiting);
+                    (s.free, s.waiting, s.best_rate) = (free, waiting, best);
                     s.cold = Some((since, since.plus(cold_time)));
                     actions.push(Action::Log(format!("server {} starts cold", id.0)));
                 }
