A far wait of 0.3 of the shortest aim reads as the target occupancy

Cause: a slow server's smallest delay is long itself, so 1 - smallest / mean let 0.5 to 1 s of far queue pass for a normal load.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,6 +34,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(600);
 /// Far queue: share of the aim that own unanswered set-ups may wait before no more are sent.
 const FAR_SHARE: f64 = 0.2;
+/// A mean far wait of this share of the shortest aim reads as ρtarg.
+const AIM_SHARE: f64 = 0.3;
 /// Share of the rule's cold budget that is used, for work other than set-ups and for chance.
 const COLD_SHARE: f64 = 0.5;
 /// An unanswered set-up is called off after this multiple of the usual delay and this share of the aim.
@@ -201,7 +203,7 @@
     /// Ends a tick. Guards against delays that nobody sees yet: the age of an unanswered set-up that already
     /// exceeds the usual delay counts as one, so a hang shows within a second. It answers for stalls and
     /// slow servers too; it could do harm where single answers are lost, which f then forgives in k ticks.
-    fn tick(&mut self, now: Time, floor: Option<f64>) {
+    fn tick(&mut self, now: Time, floor: Option<f64>, aim: f64) {
         let (mut sum, mut n) = self.tick_delays;
         let usual = self.mean_delay.unwrap_or(0.0).max(2.0 * floor.unwrap_or(0.0));
         for (sent, _) in self.in_line() {
@@ -212,7 +214,10 @@
             }
         }
         let mean = (n > 0).then(|| sum / f64::from(n));
-        let by_delay = mean.zip(floor).map(|(m, f)| (1.0 - f / m).clamp(0.0, 1.0));
+        let by_floor = mean.zip(floor).map(|(m, f)| (1.0 - f / m).clamp(0.0, 1.0));
+        // A far wait beyond its share of the aim is too long at any smallest delay.
+        let by_aim = mean.map(|m| (RHO_TARGET * m / (aim * AIM_SHARE)).min(1.0));
+        let by_delay = by_floor.zip(by_aim).map(|(a, b)| a.max(b));
         let reading = if self.tick_full { Some(1.0) } else { self.utilisation.or(by_delay) };
         if let Some(m) = mean {
             self.mean_delay = Some(self.mean_delay.map_or(m, |x| x + 0.4 * (m - x)));
@@ -740,9 +745,11 @@
 
     fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
         let least = self.servers.values().filter_map(|s| s.floor).min_by(f64::total_cmp);
+        let aims = self.settings.classes.iter().map(|c| c.aim.as_secs_f64());
+        let aim = aims.fold(f64::INFINITY, f64::min).max(1e-3);
         for (id, s) in &mut self.servers {
             let floor = if s.samples < 8 { least } else { s.floor };
-            s.tick(now, floor);
+            s.tick(now, floor, aim);
             if s.cold.is_some_and(|(_, until)| now >= until) {
                 s.cold = None;
             }
