--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 const RESTART_SILENCE: Duration = Duration::from_secs(3);
 /// A number is hot with this many calls in `NUMBER_MEMORY`.
 const HOT_CALLS: u32 = 5;
+/// No set-ups to a number for this long after its lines were all busy. Ours.
+const BUSY_PAUSE: Duration = Duration::from_secs(2);
 /// How long a number is remembered after its last call.
 const NUMBER_MEMORY: Duration = Duration::from_secs(10);
 /// Share of its worth that a hot number's call counts for when calls compete.
@@ -318,7 +320,7 @@
     first: Time,
     last: Time,
     calls: u32,
-    busy: bool,
+    busy_until: Time,
 }
 
 /// The decisions of one gateway.
@@ -412,11 +414,12 @@
             return;
         };
         let log = self.numbers.entry(new.number.clone());
-        let log = log.or_insert(NumberLog { first: now, last: now, calls: 0, busy: false });
+        let log = log.or_insert(NumberLog { first: now, last: now, calls: 0, busy_until: Time::default() });
         log.calls += 1;
         log.last = now;
+        let busy = now < log.busy_until;
         let mut worth = class.points;
-        if log.busy || log.calls >= HOT_CALLS {
+        if log.calls >= HOT_CALLS {
             worth *= HOT_WORTH;
         }
         if new.tenant.is_some_and(|t| !self.within_quota(now, t)) {
@@ -447,6 +450,11 @@
         if margin < SWEEP {
             return self.give_up(id, Duration::ZERO, actions);
         }
+        // Guards against a flood to one number: sets up nothing while its lines were just seen busy. Could do
+        // harm to a number with one short call after another.
+        if busy {
+            return self.give_up(id, self.settings.limits.max_retry_after, actions);
+        }
         self.offer_held(now, actions);
     }
 
@@ -560,7 +568,7 @@
         if note == Note::NumberBusy
             && let Some(log) = self.calls.get(&call).and_then(|c| self.numbers.get_mut(&c.new.number))
         {
-            log.busy = true;
+            log.busy_until = now.plus(BUSY_PAUSE);
         }
         if done || stood {
             self.forget(call);
