--- a/tests/property.rs
+++ b/tests/property.rs
@@ -69,7 +69,7 @@
             2 => (Outcome::TimedOut, Note::None),
             3 => (Outcome::Reset, Note::None),
             4 => (Outcome::ConnectFailed, Note::None),
-            _ => (Outcome::Error, if self.below(2) == 0 { Note::NumberBusy } else { Note::None }),
+            _ => (Outcome::Error, if self.rng.next_u64() & 1 == 0 { Note::NumberBusy } else { Note::None }),
         }
     }
 
@@ -93,7 +93,7 @@
                 let id = out[usize::try_from(self.below(out.len() as u64)).unwrap()];
                 let c = self.calls.get_mut(&id).unwrap();
                 let (attempt, server) = c.out.unwrap();
-                if !c.stands && !c.ended && self.rng.next_u64() % 2 == 0 {
+                if !c.stands && !c.ended && self.rng.next_u64() & 1 == 0 {
                     c.stands = true;
                     self.tell(Event::Standing { call: id, attempt, server, took: ms(60) });
                     return;
