--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,7 +37,9 @@
 /// A mean far wait of this share of the shortest aim reads as ρtarg.
 const AIM_SHARE: f64 = 0.3;
 /// Share of the rule's cold budget that is used, for work other than set-ups and for chance.
-const COLD_SHARE: f64 = 0.5;
+const COLD_SHARE: f64 = 0.7;
+/// Times its estimated present capacity that a cold server is sent at the most: more would only queue.
+const COLD_MOST: f64 = 1.5;
 /// An unanswered set-up is called off after this multiple of the usual delay and this share of the aim.
 const RESCUE: (f64, f64) = (2.5, 0.5);
 /// A set-up answered though sent this much later than another shows that the other's answer is lost.
@@ -279,7 +281,7 @@
         let fall = rules.fall_time.as_secs_f64();
         let done = now.since(since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
         let part = rules.cold_from + (1.0 - rules.cold_from) * 0.8 * done.min(1.0);
-        let multiple = rules.fall_multiple * COLD_SHARE;
+        let multiple = (rules.fall_multiple * COLD_SHARE).min(COLD_MOST);
         let rate = usual.max(self.best_rate).max(2.0 / f64::from(gateways.max(1)));
         let budget = (multiple * part * rate * fall).max(0.05);
         let window = rules.fall_time.mul_f64((1.0 / budget).max(1.0));
