--- a/src/brain.rs
+++ b/src/brain.rs
@@ -240,7 +240,7 @@
         // Rises slowly, so that a short burst taken into the queue does not pass for capacity.
         if self.cold.is_none() {
             self.best_rate =
-                self.best_rate.max(self.best_rate * 0.95 + 0.05 * self.answered.len() as f64 / 2.0);
+                self.best_rate.max(self.best_rate * 0.9 + 0.1 * self.answered.len() as f64 / 2.0);
         }
     }
 
@@ -615,7 +615,7 @@
     /// The calls held, the one to go first at the front: the most worth, then the nearest aim.
     fn held_in_order(&self, now: Time) -> Vec<CallId> {
         let ready = self.held.iter().filter_map(|id| self.calls.get_key_value(id));
-        let mut ready: Vec<_> = ready.filter(|(_, c)| c.out.is_none() && c.not_before <= now).collect();
+        let mut ready: Vec<_> = ready.filter(|(_, c)| c.out.is_none() && c.not_before < now).collect();
         ready.sort_by(|(i, a), (j, b)| {
             let (x, y) = (Self::worth_now(a, now), Self::worth_now(b, now));
             y.total_cmp(&x).then(a.aim_at.cmp(&b.aim_at)).then(i.cmp(j))
@@ -696,7 +696,7 @@
             }
         };
         let trial = s.suspect.is_none_or(|(next, _)| now >= next && s.waiting.is_empty());
-        let alive = c.out.is_none() && !c.standing && c.not_before <= now && now < c.answer_by;
+        let alive = c.out.is_none() && !c.standing && c.not_before < now && now < c.answer_by;
         alive
             && c.attempts < self.settings.limits.max_attempts
             && same_group
