--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,8 @@
 const FREE_MEMORY: Duration = Duration::from_secs(2);
 /// First and longest pause between trials of a suspected server.
 const TRIAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+/// The longest pause is this long for each gateway, where that is more.
+const TRIAL_SHARE: Duration = Duration::from_millis(500);
 /// A silence of this length may have been a restart: the server is taken for cold.
 const RESTART_SILENCE: Duration = Duration::from_secs(3);
 /// A number is hot with this many calls in `NUMBER_MEMORY`.
@@ -259,13 +261,22 @@
     /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
     /// machines that the list still names, and against a processor so full that it turns set-ups away, which
     /// costs it work. Could do harm where single answers get lost: the next call that stands ends it.
-    fn suspect_more(&mut self, now: Time, told: Duration, why: &str, actions: &mut Vec<Action>) {
+    fn suspect_more(
+        &mut self,
+        now: Time,
+        told: Duration,
+        gateways: u32,
+        why: &str,
+        actions: &mut Vec<Action>,
+    ) {
+        // All gateways together try about twice a second: trials alone must not keep a small server jammed.
+        let longest = TRIAL.1.max(TRIAL_SHARE * gateways);
         let pause = match self.suspect {
             None => {
                 actions.push(Action::Log(format!("server {} {why}, trials only", self.entry.id.0)));
                 TRIAL.0
             }
-            Some((next, pause)) if now >= next => (pause * 2).min(TRIAL.1),
+            Some((next, pause)) if now >= next => (pause * 2).min(longest),
             Some(_) => return,
         };
         self.suspect = Some((now.plus(pause.max(told.min(TRIAL.1))), pause));
@@ -298,6 +309,7 @@
     new: NewCall,
     answer_by: Time,
     margin: Duration,
+    aim: Duration,
     aim_at: Time,
     worth: f64,
     late_share: f64,
@@ -434,6 +446,7 @@
         let call = Call {
             answer_by: now.plus(new.left.saturating_sub(margin)),
             margin,
+            aim: class.aim,
             aim_at: first.plus(class.aim),
             worth,
             late_share: class.late_share,
@@ -558,7 +571,13 @@
                 match (self.servers.get_mut(&attempt.1), note) {
                     (Some(s), Note::ProcessorFull(wait)) => {
                         s.tick_full = true;
-                        s.suspect_more(now, wait.unwrap_or_default(), "is full", actions);
+                        s.suspect_more(
+                            now,
+                            wait.unwrap_or_default(),
+                            self.settings.gateways,
+                            "is full",
+                            actions,
+                        );
                     }
                     (Some(s), Note::NoCircuit) => s.free = Some((0.0, now)),
                     _ => {}
@@ -602,7 +621,7 @@
         }
         s.misses += 1;
         if s.misses >= MISSES {
-            s.suspect_more(now, Duration::ZERO, "is silent", actions);
+            s.suspect_more(now, Duration::ZERO, self.settings.gateways, "is silent", actions);
         }
     }
 
@@ -687,7 +706,6 @@
             }
         };
         let pools = c.new.class.and_then(|k| self.settings.classes[k.0].pools.as_ref());
-        let aim = c.new.class.map_or(Duration::ZERO, |k| self.settings.classes[k.0].aim);
         let Some(s) = self.servers.get_mut(&server) else { return false };
         let route = match self.settings.topology {
             Topology::Pools => pools.is_none_or(|p| p.contains(&s.entry.cell)),
@@ -704,7 +722,7 @@
             && s.entry.state == ServerState::Ready
             && s.free.is_none_or(|(free, told)| free >= c.new.width || now.since(told) > FREE_MEMORY)
             && trial
-            && s.has_room(now, aim)
+            && s.has_room(now, c.aim)
             && s.cold_allows(now, &self.settings.rules, self.settings.gateways, usual)
     }
 
@@ -717,7 +735,11 @@
 
     fn issue(&mut self, now: Time, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
-        let within = c.answer_by.since(now);
+        let mut within = c.answer_by.since(now);
+        // A trial that waits is sent again and is work again: it is not waited for longer than a rescue would.
+        if s.suspect.is_some() {
+            within = within.min(c.aim.mul_f64(RESCUE.1));
+        }
         c.out = Some((AttemptNo(c.attempts), server));
         c.attempts += 1;
         s.throttle.count_passed();
@@ -786,7 +808,7 @@
         for (id, s) in &self.servers {
             for (sent, call) in &s.waiting {
                 let Some(c) = self.calls.get(call).filter(|c| !c.cancelling) else { continue };
-                let aim = c.new.class.map_or(0.0, |k| self.settings.classes[k.0].aim.as_secs_f64());
+                let aim = c.aim.as_secs_f64();
                 let lost = sent.plus(OVERTAKE) < s.answered_up_to;
                 let after = (s.mean_delay.unwrap_or(0.0) * RESCUE.0).max(aim * RESCUE.1);
                 let lively = |t: &Server| t.last_answer > *sent && t.suspect.is_none();
