--- a/src/brain.rs
+++ b/src/brain.rs
@@ -253,7 +253,8 @@
     fn has_room(&self, now: Time, aim: Duration) -> bool {
         let far = aim.mul_f64(FAR_SHARE);
         let rate = self.answered.len() as f64 / 2.0;
-        let most = (rate * far.as_secs_f64() * 2.0).max(2.0);
+        let quick = self.mean_delay.is_some_and(|d| d < far.as_secs_f64());
+        let most = (rate * far.as_secs_f64() * 2.0).max(if quick { 2.0 } else { 1.0 });
         let oldest = self.in_line().next().map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
         oldest < far && (self.in_line().count() as f64) < most
     }
