--- a/src/brain.rs
+++ b/src/brain.rs
@@ -320,6 +320,7 @@
     standing: bool,
     not_before: Time,
     maybe_ran: Option<(Time, ServerId)>,
+    failed: Option<ServerId>,
     cancelling: bool,
 }
 
@@ -457,6 +458,7 @@
             standing: false,
             not_before: Time::default(),
             maybe_ran: None,
+            failed: None,
             cancelling: false,
             new,
         };
@@ -555,6 +557,7 @@
         let Some(c) = self.calls.get_mut(&call).filter(|c| c.out == Some(attempt)) else { return };
         let stood = c.standing;
         c.out = None;
+        c.failed = Some(attempt.1);
         if !outcome.never_ran() && c.maybe_ran.is_none() {
             c.maybe_ran = Some((now, attempt.1));
         }
@@ -655,13 +658,18 @@
 
     /// First-choice server, else one load-weighted redraw among the rest; each passes its own throttle.
     fn place(&mut self, now: Time, id: CallId, actions: &mut Vec<Action>) -> Draw {
-        let Some(destination) = self.calls.get(&id).map(|c| c.new.destination) else { return Draw::NoServer };
+        let call = self.calls.get(&id).map(|c| (c.new.destination, c.failed));
+        let Some((destination, failed)) = call else { return Draw::NoServer };
         let mut open: Vec<ServerId> = Vec::new();
         for server in self.servers.keys().copied().collect::<Vec<_>>() {
             if self.may_issue(now, id, server) {
                 open.push(server);
             }
         }
+        // A further attempt goes elsewhere if it can: guards against servers that fail some or all set-ups.
+        if let Some(failed) = failed.filter(|_| open.len() > 1) {
+            open.retain(|s| *s != failed);
+        }
         let first = open.iter().copied().find(|s| self.servers[s].entry.cell == destination);
         if let Some(first) = first {
             if self.servers.get_mut(&first).is_some_and(|s| s.throttle.draw()) {
