--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,8 +58,6 @@
 const HOT_CALLS: u32 = 5;
 /// No set-ups to a number for this long after its lines were all busy. Ours.
 const BUSY_PAUSE: Duration = Duration::from_secs(2);
-/// Mean share of errors among answers from which on a server is used only where no other is open.
-const ERROR_SHARE: f64 = 0.2;
 /// How long a number is remembered after its last call.
 const NUMBER_MEMORY: Duration = Duration::from_secs(10);
 /// Share of its worth that a hot number's call counts for when calls compete.
@@ -165,7 +163,6 @@
     utilisation: Option<f64>,
     free: Option<(f64, Time)>,
     pressed: bool,
-    errors: f64,
 }
 
 impl Server {
@@ -191,7 +188,6 @@
             utilisation: None,
             free: None,
             pressed: false,
-            errors: 0.0,
         }
     }
 
@@ -398,7 +394,7 @@
                     self.calls.get_mut(&call).filter(|c| c.out == Some((attempt, server)) && !c.standing);
                 if let Some(c) = known {
                     c.standing = true;
-                    self.answered(now, server, call, Some(took), false, actions);
+                    self.answered(now, server, call, Some(took), actions);
                     self.offer_held(now, actions);
                 }
             }
@@ -525,13 +521,11 @@
         id: ServerId,
         call: CallId,
         took: Option<Duration>,
-        error: bool,
         out: &mut Vec<Action>,
     ) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.waiting.retain(|(_, c)| *c != call);
         s.misses = 0;
-        s.errors += 0.1 * (f64::from(u8::from(error)) - s.errors);
         if let Some(took) = took {
             s.answered_up_to = s.answered_up_to.max(now.minus(took));
             s.note_delay(took.as_secs_f64());
@@ -577,8 +571,7 @@
         match outcome {
             _ if stood => {}
             Outcome::Full | Outcome::Error | Outcome::Ended => {
-                let error = outcome == Outcome::Error && note != Note::NumberBusy;
-                self.answered(now, attempt.1, call, None, error, actions);
+                self.answered(now, attempt.1, call, None, actions);
                 match (self.servers.get_mut(&attempt.1), note) {
                     (Some(s), Note::ProcessorFull(wait)) => {
                         s.tick_full = true;
@@ -674,13 +667,8 @@
             }
         }
         // A further attempt goes elsewhere if it can: guards against servers that fail some or all set-ups.
-        // One that answers many set-ups with errors is used where no other is open.
-        for shun in [false, true] {
-            let bad =
-                |s: &ServerId| if shun { self.servers[s].errors > ERROR_SHARE } else { failed == Some(*s) };
-            if !open.iter().all(bad) {
-                open.retain(|s| !bad(s));
-            }
+        if let Some(failed) = failed.filter(|_| open.len() > 1) {
+            open.retain(|s| *s != failed);
         }
         let first = open.iter().copied().find(|s| self.servers[s].entry.cell == destination);
         if let Some(first) = first {
