--- a/src/brain.rs
+++ b/src/brain.rs
@@ -262,19 +262,12 @@
     /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
     /// machines that the list still names, and against a processor so full that it turns set-ups away, which
     /// costs it work. Could do harm where single answers get lost: the next call that stands ends it.
-    fn suspect_more(
-        &mut self,
-        now: Time,
-        told: Duration,
-        gateways: u32,
-        why: &str,
-        actions: &mut Vec<Action>,
-    ) {
+    fn suspect_more(&mut self, now: Time, told: Duration, gateways: u32, why: &str, out: &mut Vec<Action>) {
         // All gateways together try about twice a second: trials alone must not keep a small server jammed.
         let longest = TRIAL.1.max(TRIAL_SHARE * gateways);
         let pause = match self.suspect {
             None => {
-                actions.push(Action::Log(format!("server {} {why}, trials only", self.entry.id.0)));
+                out.push(Action::Log(format!("server {} {why}, trials only", self.entry.id.0)));
                 TRIAL.0
             }
             Some((next, pause)) if now >= next => (pause * 2).min(longest),
@@ -745,7 +738,7 @@
     fn issue(&mut self, now: Time, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let mut within = c.answer_by.since(now);
-        // A trial that waits is sent again and is work again: it is not waited for longer than a rescue would.
+        // A trial that waits is sent again, which is work again: so it is cut when a rescue would be.
         if s.suspect.is_some() {
             within = within.min(c.aim.mul_f64(RESCUE.1));
         }
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -164,3 +164,47 @@
     });
     assert!(sent.len() >= 50, "only {} of 60 went", sent.len());
 }
+
+#[test]
+fn a_further_attempt_goes_to_another_server_if_one_is_open() {
+    let mut g = Gateway::with_servers(settings(), 2);
+    assert_eq!(issued(&g.tell(Event::Call(call(1, 0, 0)))), [(1, 70)]);
+    assert_eq!(issued(&g.closes(1, 0, 70, Outcome::Error)), [(1, 71)]);
+    let mut alone = Gateway::with_servers(settings(), 1);
+    alone.tell(Event::Call(call(1, 0, 0)));
+    assert_eq!(issued(&alone.closes(1, 0, 70, Outcome::Error)), [(1, 70)]);
+}
+
+#[test]
+fn a_server_not_known_to_be_quick_gets_one_set_up_until_it_answers() {
+    let mut g = Gateway::with_servers(settings(), 1);
+    assert_eq!(issued(&g.tell(Event::Call(call(1, 0, 0)))).len(), 1);
+    assert!(issued(&g.tell(Event::Call(call(2, 0, 0)))).is_empty());
+    assert_eq!(issued(&g.stands(1, 0, 70, ms(40))), [(2, 70)]);
+}
+
+#[test]
+fn trials_are_cut_short_and_get_rarer() {
+    let mut s = settings();
+    (s.gateways, s.limits.max_attempts) = (12, 9);
+    let mut g = Gateway::with_servers(s, 1);
+    g.tell(Event::Call(call(0, 0, 0)));
+    g.closes_with(0, 0, 70, Outcome::Full, Note::ProcessorFull(None));
+    let mut trials = Vec::new();
+    for id in 1..300 {
+        let mut done: Vec<_> = g.tell(Event::Call(call(id, 0, 0))).into_iter().map(|a| (g.now, a)).collect();
+        done.extend(g.pass(ms(100)));
+        for (at, action) in done {
+            if let Action::Issue { call, within, .. } = action {
+                assert!(within <= ms(1000), "half the aim at the most");
+                trials.push(at);
+                // Which attempt of the call it is, only the right number tells.
+                for attempt in 0..9 {
+                    g.closes_with(call.0, attempt, 70, Outcome::Full, Note::ProcessorFull(None));
+                }
+            }
+        }
+    }
+    let gaps: Vec<_> = trials.windows(2).map(|w| w[1].since(w[0])).collect();
+    assert!(gaps.len() >= 3 && *gaps.last().unwrap() >= ms(5000), "{gaps:?}");
+}
