--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,6 +58,8 @@
 const HOT_CALLS: u32 = 5;
 /// No set-ups to a number for this long after its lines were all busy. Ours.
 const BUSY_PAUSE: Duration = Duration::from_secs(2);
+/// Held calls looked through for one that a server is open to.
+const LOOK_THROUGH: usize = 8;
 /// How long a number is remembered after its last call.
 const NUMBER_MEMORY: Duration = Duration::from_secs(10);
 /// Share of its worth that a hot number's call counts for when calls compete.
@@ -339,7 +341,7 @@
     rng: ChaCha8Rng,
     servers: BTreeMap<ServerId, Server>,
     calls: BTreeMap<CallId, Call>,
-    held: BTreeSet<CallId>,
+    held: BTreeSet<(u64, Time, CallId)>,
     numbers: BTreeMap<Arc<str>, NumberLog>,
     quota: Vec<(f64, Time)>,
     next_tick: Time,
@@ -437,6 +439,10 @@
         let (id, left) = (new.id, new.left);
         let first =
             if self.numbers[&new.number].calls < HOT_CALLS { self.numbers[&new.number].first } else { now };
+        let mut late_share = class.late_share;
+        if now > first.plus(class.aim) {
+            (worth, late_share) = (worth * late_share, 1.0);
+        }
         let margin = ANSWER_MARGIN.min(new.left / 4).max(SWEEP * 2);
         let call = Call {
             answer_by: now.plus(new.left.saturating_sub(margin)),
@@ -444,7 +450,7 @@
             aim: class.aim,
             aim_at: first.plus(class.aim),
             worth,
-            late_share: class.late_share,
+            late_share,
             effect: class.effect,
             attempts: 0,
             out: None,
@@ -455,8 +461,8 @@
             cancelling: false,
             new,
         };
+        self.held.insert(Self::place_in_line(&call));
         self.calls.insert(id, call);
-        self.held.insert(id);
         // Guards against calls that come with next to no time left, as after this process stood still.
         if margin + SWEEP > left {
             return self.give_up(id, Duration::ZERO, actions);
@@ -466,7 +472,9 @@
         if busy {
             return self.give_up(id, self.settings.limits.max_retry_after, actions);
         }
-        self.offer_held(now, actions);
+        if !self.offer_held(now, actions) {
+            self.place(now, id, actions);
+        }
     }
 
     /// Whether a call of this tenant lies inside this gateway's part of its quota.
@@ -484,8 +492,11 @@
     }
 
     fn forget(&mut self, call: CallId) {
-        self.held.remove(&call);
-        let server = self.calls.remove(&call).and_then(|c| c.out).map(|(_, server)| server);
+        let gone = self.calls.remove(&call);
+        if let Some(c) = &gone {
+            self.held.remove(&Self::place_in_line(c));
+        }
+        let server = gone.and_then(|c| c.out).map(|(_, server)| server);
         if let Some(s) = server.and_then(|server| self.servers.get_mut(&server)) {
             s.waiting.retain(|(_, id)| *id != call);
         }
@@ -594,7 +605,7 @@
         } else if self.calls.get(&call).is_some_and(|c| c.attempts >= self.settings.limits.max_attempts) {
             self.give_up(call, Duration::ZERO, actions);
         } else {
-            self.held.insert(call);
+            self.held.extend(self.calls.get(&call).map(Self::place_in_line));
         }
         self.offer_held(now, actions);
     }
@@ -623,30 +634,18 @@
     }
 
     // ---- Routing -------------------------------------------------------------------------------------
-    /// Worth of the call if it goes now.
-    fn worth_now(c: &Call, now: Time) -> f64 {
-        if now > c.aim_at { c.worth * c.late_share } else { c.worth }
-    }
-
-    /// The calls held, the one to go first at the front: the most worth, then the nearest aim.
-    fn held_in_order(&self, now: Time) -> Vec<CallId> {
-        let ready = self.held.iter().filter_map(|id| self.calls.get_key_value(id));
-        let mut ready: Vec<_> = ready.filter(|(_, c)| c.out.is_none() && c.not_before < now).collect();
-        ready.sort_by(|(i, a), (j, b)| {
-            let (x, y) = (Self::worth_now(a, now), Self::worth_now(b, now));
-            y.total_cmp(&x).then(a.aim_at.cmp(&b.aim_at)).then(i.cmp(j))
-        });
-        ready.into_iter().map(|(id, _)| *id).collect()
+    /// The call's place among those held: the most worth first, then the nearest aim.
+    fn place_in_line(c: &Call) -> (u64, Time, CallId) {
+        (!c.worth.max(0.0).to_bits(), c.aim_at, c.new.id)
     }
 
     /// One draw, for an arrival or for room that has come up: the best call held makes it. One that no server
     /// is open to does not draw and stands in nobody's way.
-    fn offer_held(&mut self, now: Time, actions: &mut Vec<Action>) {
-        for call in self.held_in_order(now) {
-            if self.place(now, call, actions) != Draw::NoServer {
-                break;
-            }
-        }
+    fn offer_held(&mut self, now: Time, actions: &mut Vec<Action>) -> bool {
+        let ready = |id: &CallId| self.calls.get(id).is_some_and(|c| c.out.is_none() && c.not_before < now);
+        let ids = self.held.iter().map(|(_, _, id)| *id);
+        let best: Vec<CallId> = ids.filter(ready).take(LOOK_THROUGH).collect();
+        best.into_iter().any(|call| self.place(now, call, actions) != Draw::NoServer)
     }
 
     /// First-choice server, else one load-weighted redraw among the rest; each passes its own throttle.
@@ -690,7 +689,8 @@
 
     /// The one gate that every attempt passes: all rules and guards that can be told beforehand.
     fn may_issue(&mut self, now: Time, id: CallId, server: ServerId) -> bool {
-        let usual = self.usual_rate();
+        let cold = self.servers.get(&server).is_some_and(|s| s.cold.is_some());
+        let usual = if cold { self.usual_rate() } else { 0.0 };
         let Some(c) = self.calls.get(&id) else { return false };
         let Some(zone) = self.servers.get(&server).map(|s| s.entry.zone.clone()) else { return false };
         let same_group = match (c.effect, c.maybe_ran) {
@@ -750,7 +750,7 @@
         if s.cold.is_some() {
             s.cold_sends.push_back(now);
         }
-        self.held.remove(&id);
+        self.held.remove(&Self::place_in_line(c));
         actions.push(Action::Issue { call: id, server, within });
     }
 
@@ -761,6 +761,15 @@
             self.tick(now, actions);
         }
         self.rescue(now, actions);
+        // Past its aim a call is worth less and takes a place further back.
+        let turned = self.calls.values_mut().filter(|c| now > c.aim_at && c.late_share != 1.0 && !c.standing);
+        for c in turned {
+            let held = self.held.remove(&Self::place_in_line(c));
+            (c.worth, c.late_share) = (c.worth * c.late_share, 1.0);
+            if held {
+                self.held.insert(Self::place_in_line(c));
+            }
+        }
         let due = self.calls.iter().filter(|(_, c)| !c.standing && c.answer_by <= now);
         // An attempt that is out was timed to end a little before; its outcome gets a few sweeps to come in.
         let due = due.filter(|(_, c)| c.out.is_none() || c.answer_by.plus(c.margin / 2) <= now);
