--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -208,3 +208,13 @@
     let gaps: Vec<_> = trials.windows(2).map(|w| w[1].since(w[0])).collect();
     assert!(gaps.len() >= 3 && *gaps.last().unwrap() >= ms(5000), "{gaps:?}");
 }
+
+#[test]
+fn a_redial_past_the_aim_of_its_first_try_counts_as_late_from_the_start() {
+    let mut g = Gateway::with_servers(settings(), 1);
+    let redial = |id| NewCall { number: "line-again".into(), ..call(id, 1, 0) };
+    g.tell(Event::Call(redial(50)));
+    g.stands(50, 0, 70, ms(40));
+    g.pass(ms(2100));
+    assert_eq!(first_of(&mut g, redial(1), call(2, 0, 0)), 2, "3 x 0.25 is less than 1");
+}
