--- a/src/brain.rs
+++ b/src/brain.rs
@@ -315,6 +315,7 @@
     standing: bool,
     not_before: Time,
     maybe_ran: Option<(Time, ServerId)>,
+    sent_at: Time,
     failed: Option<ServerId>,
     cancelling: bool,
 }
@@ -457,6 +458,7 @@
             standing: false,
             not_before: Time::default(),
             maybe_ran: None,
+            sent_at: now,
             failed: None,
             cancelling: false,
             new,
@@ -563,7 +565,7 @@
         c.out = None;
         c.failed = Some(attempt.1);
         if !outcome.never_ran() && c.maybe_ran.is_none() {
-            c.maybe_ran = Some((now, attempt.1));
+            c.maybe_ran = Some((c.sent_at, attempt.1));
         }
         if outcome.needs_release() {
             c.not_before = now.plus(self.settings.rules.release_guard);
@@ -744,6 +746,7 @@
         }
         c.out = Some((AttemptNo(c.attempts), server));
         c.attempts += 1;
+        c.sent_at = now;
         s.throttle.count_passed();
         s.free = s.free.map(|(free, told)| (free - c.new.width, told));
         s.waiting.insert((now, id));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -236,3 +236,18 @@
     assert!(issued(&g.tell(Event::Call(call(1, 0, 0)))).is_empty());
     assert_eq!(finals(g.pass(ms(3000)).iter().map(|(_, a)| a)), [1]);
 }
+
+#[test]
+fn a_keyed_call_goes_again_only_within_the_window_from_its_first_sending() {
+    // Sent at 0, reset at 1000 ms, free to go again at 1300 ms.
+    for (window, again) in [(1250, 0), (1600, 1)] {
+        let mut s = settings();
+        s.limits.cancel = false;
+        s.classes = vec![class(1.0, Effect::Keyed { group: RepeatGroup::All, window: ms(window) })];
+        let mut g = Gateway::with_servers(s, 2);
+        assert_eq!(issued(&g.tell(Event::Call(call(1, 0, 0)))), [(1, 70)]);
+        g.pass(ms(1000));
+        g.closes(1, 0, 70, Outcome::Reset);
+        assert_eq!(issued(g.pass(ms(3000)).iter().map(|(_, a)| a)).len(), again, "window {window} ms");
+    }
+}
