Shared pieces in place of twins in the module

The rate of answers (written three times, its 2 s span a bare number), the overtaken test and the discount past the aim each stand once; a draw tells only whether the call drew, as nobody asked for more; a number's log is looked up once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 const TRIAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
 /// The longest pause is this long for each gateway, where that is more.
 const TRIAL_SHARE: Duration = Duration::from_millis(500);
+/// Set-ups that stood are counted over this long for a server's rate. Ours.
+const RATE_SPAN: Duration = Duration::from_secs(2);
 /// A silence of this length may have been a restart: the server is taken for cold.
 const RESTART_SILENCE: Duration = Duration::from_secs(3);
 /// A number is hot with this many calls in `NUMBER_MEMORY`.
@@ -197,7 +199,16 @@
     /// overtaken does not: its answer is lost. Guards against lost messages holding up sends and readings.
     /// It could do harm at servers that do not work in order, as sends are then held back less.
     fn in_line(&self) -> impl Iterator<Item = &(Time, CallId)> {
-        self.waiting.iter().filter(|(sent, _)| sent.plus(OVERTAKE) >= self.answered_up_to)
+        self.waiting.iter().filter(|(sent, _)| !self.overtaken(*sent))
+    }
+
+    fn overtaken(&self, sent: Time) -> bool {
+        sent.plus(OVERTAKE) < self.answered_up_to
+    }
+
+    /// Set-ups a second that stood lately.
+    fn answer_rate(&self) -> f64 {
+        self.answered.len() as f64 / RATE_SPAN.as_secs_f64()
     }
 
     /// The set-up delay seen, as a reading of occupancy: 1 - smallest / mean.
@@ -238,13 +249,12 @@
         self.tick_full = false;
         self.utilisation = None;
         self.floor = self.floor.map(|x| x * (1.0 + FLOOR_AGEING * TICK.as_secs_f64()));
-        while self.answered.front().is_some_and(|t| now.since(*t) > Duration::from_secs(2)) {
+        while self.answered.front().is_some_and(|t| now.since(*t) > RATE_SPAN) {
             self.answered.pop_front();
         }
         // Rises slowly, so that a short burst taken into the queue does not pass for capacity.
         if self.cold.is_none() {
-            self.best_rate =
-                self.best_rate.max(self.best_rate * 0.9 + 0.1 * self.answered.len() as f64 / 2.0);
+            self.best_rate = self.best_rate.max(self.best_rate * 0.9 + 0.1 * self.answer_rate());
         }
     }
 
@@ -254,7 +264,7 @@
     /// the network alone takes that long; then one set-up at a time still goes.
     fn has_room(&self, now: Time, aim: Duration) -> bool {
         let far = aim.mul_f64(FAR_SHARE);
-        let rate = self.answered.len() as f64 / 2.0;
+        let rate = self.answer_rate();
         let quick = self.mean_delay.is_some_and(|d| d < far.as_secs_f64());
         let most = (rate * far.as_secs_f64() * 2.0).max(if quick { 2.0 } else { 1.0 });
         let oldest = self.in_line().next().map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
@@ -320,11 +330,13 @@
     cancelling: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Draw {
-    Went,
-    Refused,
-    NoServer,
+impl Call {
+    /// Past its aim a call is worth its late share, once.
+    fn discount_if_late(&mut self, now: Time) {
+        if now > self.aim_at {
+            (self.worth, self.late_share) = (self.worth * self.late_share, 1.0);
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -430,28 +442,22 @@
         log.calls += 1;
         log.last = now;
         let busy = now < log.busy_until;
-        let mut worth = class.points;
+        let (mut worth, mut first) = (class.points, log.first);
         if log.calls >= HOT_CALLS {
-            worth *= HOT_WORTH;
+            (worth, first) = (worth * HOT_WORTH, now);
         }
         if new.tenant.is_some_and(|t| !self.within_quota(now, t)) {
             worth *= self.settings.over_share_worth;
         }
         let (id, left) = (new.id, new.left);
-        let first =
-            if self.numbers[&new.number].calls < HOT_CALLS { self.numbers[&new.number].first } else { now };
-        let mut late_share = class.late_share;
-        if now > first.plus(class.aim) {
-            (worth, late_share) = (worth * late_share, 1.0);
-        }
         let margin = ANSWER_MARGIN.min(new.left / 4).max(SWEEP * 2);
-        let call = Call {
+        let mut call = Call {
             answer_by: now.plus(new.left.saturating_sub(margin)),
             margin,
             aim: class.aim,
             aim_at: first.plus(class.aim),
             worth,
-            late_share,
+            late_share: class.late_share,
             effect: class.effect,
             attempts: 0,
             out: None,
@@ -463,6 +469,7 @@
             cancelling: false,
             new,
         };
+        call.discount_if_late(now);
         self.held.insert(Self::place_in_line(&call));
         self.calls.insert(id, call);
         // Guards against calls that come with next to no time left, as after this process stood still.
@@ -647,19 +654,16 @@
         let ready = |id: &CallId| self.calls.get(id).is_some_and(|c| c.out.is_none() && c.not_before < now);
         let ids = self.held.iter().map(|(_, _, id)| *id);
         let best: Vec<CallId> = ids.filter(ready).take(LOOK_THROUGH).collect();
-        best.into_iter().any(|call| self.place(now, call, actions) != Draw::NoServer)
+        best.into_iter().any(|call| self.place(now, call, actions))
     }
 
     /// First-choice server, else one load-weighted redraw among the rest; each passes its own throttle.
-    fn place(&mut self, now: Time, id: CallId, actions: &mut Vec<Action>) -> Draw {
+    /// Tells whether the call drew: no server may be open to it.
+    fn place(&mut self, now: Time, id: CallId, actions: &mut Vec<Action>) -> bool {
         let call = self.calls.get(&id).map(|c| (c.new.destination, c.failed));
-        let Some((destination, failed)) = call else { return Draw::NoServer };
-        let mut open: Vec<ServerId> = Vec::new();
-        for server in self.servers.keys().copied().collect::<Vec<_>>() {
-            if self.may_issue(now, id, server) {
-                open.push(server);
-            }
-        }
+        let Some((destination, failed)) = call else { return false };
+        let mut open: Vec<ServerId> = self.servers.keys().copied().collect();
+        open.retain(|server| self.may_issue(now, id, *server));
         // A further attempt goes elsewhere if it can: guards against servers that fail some or all set-ups.
         if let Some(failed) = failed.filter(|_| open.len() > 1) {
             open.retain(|s| *s != failed);
@@ -668,7 +672,7 @@
         if let Some(first) = first {
             if self.servers.get_mut(&first).is_some_and(|s| s.throttle.draw()) {
                 self.issue(now, id, first, actions);
-                return Draw::Went;
+                return true;
             }
             open.retain(|s| *s != first);
         }
@@ -679,14 +683,11 @@
             point -= weight(&self.servers[s]);
             point < 0.0
         });
-        let Some(choice) = choice.or(open.last().copied()) else {
-            return if first.is_some() { Draw::Refused } else { Draw::NoServer };
-        };
+        let Some(choice) = choice.or(open.last().copied()) else { return first.is_some() };
         if self.servers.get_mut(&choice).is_some_and(|s| s.throttle.draw()) {
             self.issue(now, id, choice, actions);
-            return Draw::Went;
         }
-        Draw::Refused
+        true
     }
 
     /// The one gate that every attempt passes: all rules and guards that can be told beforehand.
@@ -733,7 +734,7 @@
     /// Set-ups a second that this gateway passes to a warm server.
     fn usual_rate(&self) -> f64 {
         let warm = self.servers.values().filter(|s| s.cold.is_none() && s.entry.state == ServerState::Ready);
-        let rates: Vec<f64> = warm.map(|s| s.answered.len() as f64 / 2.0).collect();
+        let rates: Vec<f64> = warm.map(|s| s.answer_rate()).collect();
         rates.iter().sum::<f64>() / rates.len().max(1) as f64
     }
 
@@ -768,7 +769,7 @@
         let turned = self.calls.values_mut().filter(|c| now > c.aim_at && c.late_share != 1.0 && !c.standing);
         for c in turned {
             let held = self.held.remove(&Self::place_in_line(c));
-            (c.worth, c.late_share) = (c.worth * c.late_share, 1.0);
+            c.discount_if_late(now);
             if held {
                 self.held.insert(Self::place_in_line(c));
             }
@@ -823,11 +824,10 @@
             for (sent, call) in &s.waiting {
                 let Some(c) = self.calls.get(call).filter(|c| !c.cancelling) else { continue };
                 let aim = c.aim.as_secs_f64();
-                let lost = sent.plus(OVERTAKE) < s.answered_up_to;
                 let after = (s.mean_delay.unwrap_or(0.0) * RESCUE.0).max(aim * RESCUE.1);
                 let lively = |t: &Server| t.last_answer > *sent && t.suspect.is_none();
                 let hung = now.since(*sent).as_secs_f64() > after && s.last_answer < *sent;
-                if lost || hung && self.servers.iter().any(|(o, t)| o != id && lively(t)) {
+                if s.overtaken(*sent) || hung && self.servers.iter().any(|(o, t)| o != id && lively(t)) {
                     calls.push(*call);
                 }
             }
