Cold budget: each gateway's credit grows with its long mean rate, from a seeded phase

Cause: at full size every gateway sent its first set-up to a cold server at once, and best_rate kept the maximum of noise. Now the credit of a cold server grows by multiple x part x the long mean of own set-ups that stood there (unbiased, so that noise cancels in the sum of all gateways), from a random start.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,6 +40,10 @@
 const COLD_SHARE: f64 = 0.7;
 /// Times its estimated present capacity that a cold server is sent at the most: more would only queue.
 const COLD_MOST: f64 = 1.5;
+/// Share of the way to full work that a starting processor is taken to go in the cold time.
+const COLD_RAMP: f64 = 0.8;
+/// Ticks in the long mean of the rate that is usual at a server (20 s): long enough for some set-ups. Ours.
+const USUAL_TICKS: u32 = 100;
 /// An unanswered set-up is called off after this multiple of the usual delay and this share of the aim.
 const RESCUE: (f64, f64) = (2.5, 0.5);
 /// A set-up answered though sent this much later than another shows that the other's answer is lost.
@@ -144,6 +148,15 @@
     }
 }
 
+/// A processor that has just started; at a credit of 1 this gateway may send it a set-up.
+#[derive(Debug)]
+struct Cold {
+    since: Time,
+    until: Time,
+    credit: f64,
+    counted: Time,
+}
+
 // ---- A server's health -------------------------------------------------------------------------------
 #[derive(Debug)]
 struct Server {
@@ -161,9 +174,10 @@
     misses: u32,
     waiting: BTreeSet<(Time, CallId)>,
     suspect: Option<(Time, Duration)>,
-    cold: Option<(Time, Time)>,
-    best_rate: f64,
-    cold_sends: VecDeque<Time>,
+    cold: Option<Cold>,
+    usual: f64,
+    usual_ticks: u32,
+    stood: u32,
     utilisation: Option<f64>,
     free: Option<(f64, Time)>,
     pressed: bool,
@@ -187,8 +201,9 @@
             waiting: BTreeSet::new(),
             suspect: None,
             cold: None,
-            best_rate: 0.0,
-            cold_sends: VecDeque::new(),
+            usual: 0.0,
+            usual_ticks: 0,
+            stood: 0,
             utilisation: None,
             free: None,
             pressed: false,
@@ -252,10 +267,13 @@
         while self.answered.front().is_some_and(|t| now.since(*t) > RATE_SPAN) {
             self.answered.pop_front();
         }
-        // Rises slowly, so that a short burst taken into the queue does not pass for capacity.
-        if self.cold.is_none() {
-            self.best_rate = self.best_rate.max(self.best_rate * 0.9 + 0.1 * self.answer_rate());
+        // A long mean: its noise over gateways cancels out in their sum. Trouble is no measure.
+        if self.cold.is_none() && self.suspect.is_none() && self.entry.state == ServerState::Ready {
+            let seen = f64::from(self.stood) / TICK.as_secs_f64();
+            self.usual_ticks = (self.usual_ticks + 1).min(USUAL_TICKS);
+            self.usual += (seen - self.usual) / f64::from(self.usual_ticks);
         }
+        self.stood = 0;
     }
 
     /// Guards against a far queue that feeds itself (repeats, work on given-up set-ups, answers behind
@@ -289,23 +307,17 @@
     }
 
     /// Guards rule 4. All gateways together send at most what they send to a warm server now; so each keeps
-    /// to the budget's share that its own present rate has. `usual` is that rate.
-    fn cold_allows(&mut self, now: Time, rules: &Rules, gateways: u32, usual: f64) -> bool {
-        let Some((since, until)) = self.cold else { return true };
-        if now >= until {
-            return true;
-        }
-        let fall = rules.fall_time.as_secs_f64();
-        let done = now.since(since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
-        let part = rules.cold_from + (1.0 - rules.cold_from) * 0.8 * done.min(1.0);
+    /// to the budget's share that its own usual rate has, in even steps from a random phase on: many gateways
+    /// with less than one set-up each in the rule's time would otherwise all send it at once. Could do harm where this gateway's rate rises fast: the cold server is then used too little.
+    fn cold_allows(&mut self, now: Time, rules: &Rules) -> bool {
+        let Some(c) = &mut self.cold else { return true };
+        let done = now.since(c.since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
+        let part = rules.cold_from + (1.0 - rules.cold_from) * COLD_RAMP * done.min(1.0);
         let multiple = (rules.fall_multiple * COLD_SHARE).min(COLD_MOST);
-        let rate = usual.max(self.best_rate).max(2.0 / f64::from(gateways.max(1)));
-        let budget = (multiple * part * rate * fall).max(0.05);
-        let window = rules.fall_time.mul_f64((1.0 / budget).max(1.0));
-        while self.cold_sends.front().is_some_and(|t| now.since(*t) > window) {
-            self.cold_sends.pop_front();
-        }
-        (self.cold_sends.len() as f64) + 1.0 <= budget.max(1.0)
+        c.credit += multiple * part * self.usual * now.since(c.counted).as_secs_f64();
+        c.credit = c.credit.min(1.0);
+        c.counted = now;
+        c.credit >= 1.0 || now >= c.until
     }
 }
 
@@ -543,10 +555,16 @@
             s.answered_up_to = s.answered_up_to.max(now.minus(took));
             s.note_delay(took.as_secs_f64());
             s.answered.push_back(now);
+            s.stood += 1;
         }
         if s.suspect.is_some() && now.since(s.last_answer) >= RESTART_SILENCE {
-            s.cold = Some((now, now.plus(self.settings.rules.cold_time)));
-            s.cold_sends.clear();
+            let credit = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+            s.cold = Some(Cold {
+                since: now,
+                until: now.plus(self.settings.rules.cold_time),
+                credit,
+                counted: now,
+            });
         }
         s.last_answer = now;
         if took.is_some() && s.suspect.take().is_some() {
@@ -692,8 +710,6 @@
 
     /// The one gate that every attempt passes: all rules and guards that can be told beforehand.
     fn may_issue(&mut self, now: Time, id: CallId, server: ServerId) -> bool {
-        let cold = self.servers.get(&server).is_some_and(|s| s.cold.is_some());
-        let usual = if cold { self.usual_rate() } else { 0.0 };
         let Some(c) = self.calls.get(&id) else { return false };
         let Some(zone) = self.servers.get(&server).map(|s| s.entry.zone.clone()) else { return false };
         let same_group = match (c.effect, c.maybe_ran) {
@@ -728,13 +744,13 @@
             && s.free.is_none_or(|(free, told)| free >= c.new.width || now.since(told) > FREE_MEMORY)
             && trial
             && s.has_room(now, c.aim)
-            && s.cold_allows(now, &self.settings.rules, self.settings.gateways, usual)
+            && s.cold_allows(now, &self.settings.rules)
     }
 
-    /// Set-ups a second that this gateway passes to a warm server.
+    /// Own set-ups a second that stand at a warm server, in the long mean.
     fn usual_rate(&self) -> f64 {
         let warm = self.servers.values().filter(|s| s.cold.is_none() && s.entry.state == ServerState::Ready);
-        let rates: Vec<f64> = warm.map(|s| s.answer_rate()).collect();
+        let rates: Vec<f64> = warm.map(|s| s.usual).collect();
         rates.iter().sum::<f64>() / rates.len().max(1) as f64
     }
 
@@ -751,8 +767,8 @@
         s.throttle.count_passed();
         s.free = s.free.map(|(free, told)| (free - c.new.width, told));
         s.waiting.insert((now, id));
-        if s.cold.is_some() {
-            s.cold_sends.push_back(now);
+        if let Some(cold) = &mut s.cold {
+            cold.credit -= 1.0;
         }
         self.held.remove(&Self::place_in_line(c));
         actions.push(Action::Issue { call: id, server, within });
@@ -796,7 +812,7 @@
         for (id, s) in &mut self.servers {
             let floor = if s.samples < 8 { least } else { s.floor };
             s.tick(now, floor, aim);
-            if s.cold.is_some_and(|(_, until)| now >= until) {
+            if s.cold.as_ref().is_some_and(|c| now >= c.until) {
                 s.cold = None;
             }
             let pressed = s.throttle.f < if s.pressed { 0.9 } else { 0.5 };
@@ -858,8 +874,9 @@
         for entry in entries {
             let id = entry.id;
             // A machine that replaces another in its pool is taken to be of its size.
-            let same = self.servers.values().filter(|s| s.entry.cell == entry.cell);
-            let best = same.map(|s| s.best_rate).fold(0.0, f64::max);
+            let (fleet, credit) = (self.usual_rate(), self.unit());
+            let same = self.servers.values().filter(|s| s.entry.cell == entry.cell && s.usual_ticks > 0);
+            let usual = same.map(|s| s.usual).reduce(f64::max).unwrap_or(fleet);
             let fresh = !self.servers.contains_key(&id);
             let s = self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now));
             let restarted = s.entry.up_since != entry.up_since && entry.up_since.is_some();
@@ -870,8 +887,8 @@
                 if let Some(since) = since {
                     let (free, waiting) = (s.free, std::mem::take(&mut s.waiting));
                     *s = Server::new(entry.clone(), now);
-                    (s.free, s.waiting, s.best_rate) = (free, waiting, best);
-                    s.cold = Some((since, since.plus(cold_time)));
+                    (s.free, s.waiting, s.usual, s.usual_ticks) = (free, waiting, usual, USUAL_TICKS);
+                    s.cold = Some(Cold { since, until: since.plus(cold_time), credit, counted: now });
                     actions.push(Action::Log(format!("server {} starts cold", id.0)));
                 }
             }
