f grows without readings only in ticks with a draw; one draw a tick for the calls held

Cause: with one set-up in 3 s for a server a gateway forgot its last reading: f grew by 1.25 in each of the ticks without one, back to 1 before the next sample.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -83,6 +83,7 @@
     pub(crate) f: f64,
     r: f64,
     passed: u32,
+    drawn: bool,
     counts: VecDeque<f64>,
     readings: VecDeque<Option<f64>>,
     pub(crate) mu_max: Option<f64>,
@@ -92,11 +93,12 @@
 impl Throttle {
     pub(crate) fn new() -> Self {
         let (counts, readings) = (VecDeque::new(), VecDeque::new());
-        Self { f: 1.0, r: 0.0, passed: 0, counts, readings, mu_max: None, ticks: 0 }
+        Self { f: 1.0, r: 0.0, passed: 0, drawn: false, counts, readings, mu_max: None, ticks: 0 }
     }
 
     /// Determ.: r gains f; at 1 or more r loses 1 and the set-up goes.
     pub(crate) fn draw(&mut self) -> bool {
+        self.drawn = true;
         self.r += self.f;
         let passes = self.r >= 1.0;
         if passes {
@@ -136,8 +138,11 @@
             let seen = alpha / rho.unwrap_or(1.0);
             self.mu_max = Some(self.mu_max.map_or(seen, |mu| mu + LEARN_WEIGHT * (seen - mu)));
         }
-        // No reading at all (nothing sent, nothing unanswered) is no sign of load: f may grow.
-        let phi = rho.map_or(PHI_MAX, |x| (RHO_TARGET / x.max(1e-6)).min(PHI_MAX));
+        // No reading at all (nothing sent, nothing unanswered) is no sign of load: f may grow, but only as
+        // fast as it is asked for set-ups. One that comes every few seconds must not forget its last reading.
+        let unread = if self.drawn { PHI_MAX } else { 1.0 };
+        let phi = rho.map_or(unread, |x| (RHO_TARGET / x.max(1e-6)).min(PHI_MAX));
+        self.drawn = false;
         let f_o = (phi * self.f).clamp(F_MIN, 1.0);
         let armed = self.readings.iter().flatten().any(|x| *x > RHO_TARGET);
         let f_a = match self.mu_max {
@@ -823,9 +828,7 @@
             }
         }
         self.numbers.retain(|_, log| now.since(log.last) < NUMBER_MEMORY);
-        for _ in 0..self.servers.len() {
-            self.offer_held(now, actions);
-        }
+        self.offer_held(now, actions);
     }
 
     /// Calls an attempt off whose answer was overtaken by a later one, or whose server has answered nothing
