--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,6 +23,8 @@
 const RHO_LEARN: f64 = 0.3;
 /// φmax: the fraction allowed grows by this much a tick at the most.
 const PHI_MAX: f64 = 1.25;
+/// The same without a reading, in a tick that asks for set-ups: just enough that no server stays shut out.
+const PHI_UNREAD: f64 = 1.06;
 /// fmin: keeps samples coming, so that no server stays shut out.
 const F_MIN: f64 = 0.05;
 /// Growth of the smallest delay a second, so that one lucky sample does not stand for ever.
@@ -140,7 +142,7 @@
         }
         // No reading at all (nothing sent, nothing unanswered) is no sign of load: f may grow, but only as
         // fast as it is asked for set-ups. One that comes every few seconds must not forget its last reading.
-        let unread = if self.drawn { PHI_MAX } else { 1.0 };
+        let unread = if self.drawn { PHI_UNREAD } else { 1.0 };
         let phi = rho.map_or(unread, |x| (RHO_TARGET / x.max(1e-6)).min(PHI_MAX));
         self.drawn = false;
         let f_o = (phi * self.f).clamp(F_MIN, 1.0);
