--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,6 +54,8 @@
 const MISSES: u32 = 2;
 /// A server whose lines were all taken is tried again after this time without news of a free one. Ours.
 const FREE_MEMORY: Duration = Duration::from_secs(2);
+/// Times the free lines told that all gateways together may take in a second.
+const LINES_PACE: f64 = 2.0;
 /// First and longest pause between trials of a suspected server.
 const TRIAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
 /// The longest pause is this long for each gateway, where that is more.
@@ -155,15 +157,6 @@
     }
 }
 
-/// A processor that has just started; at a credit of 1 this gateway may send it a set-up.
-#[derive(Debug)]
-struct Cold {
-    since: Time,
-    until: Time,
-    credit: f64,
-    counted: Time,
-}
-
 // ---- A server's health -------------------------------------------------------------------------------
 #[derive(Debug)]
 struct Server {
@@ -181,7 +174,10 @@
     misses: u32,
     waiting: BTreeSet<(Time, CallId)>,
     suspect: Option<(Time, Duration)>,
-    cold: Option<Cold>,
+    /// Since when, and until when, its processor is taken for cold.
+    cold: Option<(Time, Time)>,
+    /// Set-ups that a pace allows now, and when that was counted.
+    credit: (f64, Time),
     usual: f64,
     usual_ticks: u32,
     stood: u32,
@@ -191,8 +187,9 @@
 }
 
 impl Server {
-    fn new(entry: ServerEntry, now: Time) -> Self {
+    fn new(entry: ServerEntry, now: Time, credit: f64) -> Self {
         Self {
+            credit: (credit, now),
             entry,
             throttle: Throttle::new(),
             floor: None,
@@ -313,18 +310,35 @@
         self.suspect = Some((now.plus(pause.max(told.min(TRIAL.1))), pause));
     }
 
-    /// Guards rule 4. All gateways together send at most what they send to a warm server now; so each keeps
-    /// to the budget's share that its own usual rate has, in even steps from a random phase on: many gateways
-    /// with less than one set-up each in the rule's time would otherwise all send it at once. Could do harm where this gateway's rate rises fast: the cold server is then used too little.
-    fn cold_allows(&mut self, now: Time, rules: &Rules) -> bool {
-        let Some(c) = &mut self.cold else { return true };
-        let done = now.since(c.since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
-        let part = rules.cold_from + (1.0 - rules.cold_from) * COLD_RAMP * done.min(1.0);
-        let multiple = (rules.fall_multiple * COLD_SHARE).min(COLD_MOST);
-        c.credit += multiple * part * self.usual * now.since(c.counted).as_secs_f64();
-        c.credit = c.credit.min(1.0);
-        c.counted = now;
-        c.credit >= 1.0 || now >= c.until
+    /// Set-ups a second that this gateway may send, where its share of something scarce limits them.
+    /// A cold processor (rule 4): all gateways together send at most what they usually send to it when warm,
+    /// times the part that is warm; so each keeps to the budget's share that its own usual rate has.
+    /// Few free lines: all gateways are told the same number, and each takes its share of them.
+    /// Could do harm where this gateway's calls grow fast: the server is then used too little.
+    fn pace(&self, now: Time, settings: &Settings) -> Option<f64> {
+        let rules = &settings.rules;
+        let cold = self.cold.filter(|(_, until)| now < *until).map(|(since, _)| {
+            let done = now.since(since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
+            let part = rules.cold_from + (1.0 - rules.cold_from) * COLD_RAMP * done.min(1.0);
+            (rules.fall_multiple * COLD_SHARE).min(COLD_MOST) * part * self.usual
+        });
+        let gateways = f64::from(settings.gateways);
+        let shared = self.free.filter(|(free, _)| *free < gateways && settings.topology == Topology::Pools);
+        let lines = shared.map(|(free, told)| {
+            let least = if now.since(told) > FREE_MEMORY { 1.0 } else { 0.0 };
+            LINES_PACE * free.max(least) / gateways
+        });
+        cold.into_iter().chain(lines).reduce(f64::min)
+    }
+
+    /// Whether the pace allows a set-up now. Credit starts at a random phase: many gateways, each with less
+    /// than one set-up in the time that counts, would otherwise all send it at once.
+    fn has_credit(&mut self, now: Time, settings: &Settings) -> bool {
+        let pace = self.pace(now, settings);
+        let (credit, counted) = self.credit;
+        let grown = credit + pace.unwrap_or(0.0) * now.since(counted).as_secs_f64();
+        self.credit = (grown.min(1.0), now);
+        pace.is_none() || self.credit.0 >= 1.0
     }
 }
 
@@ -565,13 +579,8 @@
             s.stood += 1;
         }
         if s.suspect.is_some() && now.since(s.last_answer) >= RESTART_SILENCE {
-            let credit = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-            s.cold = Some(Cold {
-                since: now,
-                until: now.plus(self.settings.rules.cold_time),
-                credit,
-                counted: now,
-            });
+            s.cold = Some((now, now.plus(self.settings.rules.cold_time)));
+            s.credit = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX), now);
         }
         s.last_answer = now;
         if took.is_some() && s.suspect.take().is_some() {
@@ -751,7 +760,7 @@
             && s.free.is_none_or(|(free, told)| free >= c.new.width || now.since(told) > FREE_MEMORY)
             && trial
             && s.has_room(now, c.aim)
-            && s.cold_allows(now, &self.settings.rules)
+            && s.has_credit(now, &self.settings)
     }
 
     /// Own set-ups a second that stand at a warm server, in the long mean.
@@ -774,9 +783,7 @@
         s.throttle.count_passed();
         s.free = s.free.map(|(free, told)| (free - c.new.width, told));
         s.waiting.insert((now, id));
-        if let Some(cold) = &mut s.cold {
-            cold.credit -= 1.0;
-        }
+        s.credit.0 = (s.credit.0 - 1.0).max(0.0);
         self.held.remove(&Self::place_in_line(c));
         actions.push(Action::Issue { call: id, server, within });
     }
@@ -819,7 +826,7 @@
         for (id, s) in &mut self.servers {
             let floor = if s.samples < 8 { least } else { s.floor };
             s.tick(now, floor, aim);
-            if s.cold.as_ref().is_some_and(|c| now >= c.until) {
+            if s.cold.is_some_and(|(_, until)| now >= until) {
                 s.cold = None;
             }
             let pressed = s.throttle.f < if s.pressed { 0.9 } else { 0.5 };
@@ -883,7 +890,7 @@
             let same = self.servers.values().filter(|s| s.entry.cell == entry.cell && s.usual_ticks > 0);
             let usual = same.map(|s| s.usual).reduce(f64::max).unwrap_or(fleet);
             let fresh = !self.servers.contains_key(&id);
-            let s = self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now));
+            let s = self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now, credit));
             let restarted = s.entry.up_since != entry.up_since && entry.up_since.is_some();
             if (restarted || fresh) && entry.state == ServerState::Ready {
                 let started = entry.up_since.filter(|t| now.since(*t) < cold_time);
@@ -891,9 +898,9 @@
                 let since = started.or((fresh && self.listed && entry.up_since.is_none()).then_some(now));
                 if let Some(since) = since {
                     let (free, waiting) = (s.free, std::mem::take(&mut s.waiting));
-                    *s = Server::new(entry.clone(), now);
+                    *s = Server::new(entry.clone(), now, credit);
                     (s.free, s.waiting, s.usual, s.usual_ticks) = (free, waiting, usual, USUAL_TICKS);
-                    s.cold = Some(Cold { since, until: since.plus(cold_time), credit, counted: now });
+                    s.cold = Some((since, since.plus(cold_time)));
                     actions.push(Action::Log(format!("server {} starts cold", id.0)));
                 }
             }
--- a/src/brain_tests.rs
+++ b/src/brain_tests.rs
@@ -102,7 +102,7 @@
         state: ServerState::Ready,
         up_since: None,
     };
-    Server::new(entry, Time::from_nanos(1_000_000_000))
+    Server::new(entry, Time::from_nanos(1_000_000_000), 1.0)
 }
 
 fn reading(s: &Server) -> Option<f64> {
