--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,7 +26,7 @@
 /// The same without a reading, in a tick that asks for set-ups: just enough that no server stays shut out.
 const PHI_UNREAD: f64 = 1.06;
 /// fmin: keeps samples coming, so that no server stays shut out.
-const F_MIN: f64 = 0.05;
+const F_MIN: f64 = 0.01;
 /// Growth of the smallest delay a second, so that one lucky sample does not stand for ever.
 const FLOOR_AGEING: f64 = 0.01;
 /// Between two looks at the calls held; deadlines are kept to within two of these.
