--- a/src/brain.rs
+++ b/src/brain.rs
@@ -600,6 +600,11 @@
         if let Some(s) = self.servers.get_mut(&attempt.1) {
             s.free = report.free.map(|x| (x, now)).or(s.free);
             s.utilisation = report.utilisation.or(s.utilisation);
+            // A told wait is one more sample of the set-up delay.
+            if let (Some(wait), Some(floor)) = (report.wait, s.floor) {
+                s.tick_delays.0 += floor + wait.as_secs_f64();
+                s.tick_delays.1 += 1;
+            }
         }
         let Some(c) = self.calls.get_mut(&call).filter(|c| c.out == Some(attempt)) else { return };
         let stood = c.standing;
