--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,10 +56,12 @@
 const FREE_MEMORY: Duration = Duration::from_secs(2);
 /// Times the free lines told that all gateways together may take in a second.
 const LINES_PACE: f64 = 2.0;
-/// First and longest pause between trials of a suspected server.
+/// Shortest pause between trials of a suspected server, and the longest told wait that is kept to.
 const TRIAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
-/// The longest pause is this long for each gateway, where that is more.
-const TRIAL_SHARE: Duration = Duration::from_millis(500);
+/// Trials as a share of the usual set-ups: from all gateways together too few to keep a server jammed.
+const TRIAL_PACE: f64 = 0.2;
+/// Trials a second from all gateways together that are always allowed.
+const TRIAL_LEAST: f64 = 2.0;
 /// Set-ups that stood are counted over this long for a server's rate. Ours.
 const RATE_SPAN: Duration = Duration::from_secs(2);
 /// A silence of this length may have been a restart: the server is taken for cold.
@@ -173,7 +175,8 @@
     answered_up_to: Time,
     misses: u32,
     waiting: BTreeSet<(Time, CallId)>,
-    suspect: Option<(Time, Duration)>,
+    /// No trial before this time.
+    suspect: Option<Time>,
     /// Since when, and until when, its processor is taken for cold.
     cold: Option<(Time, Time)>,
     /// Set-ups that a pace allows now, and when that was counted.
@@ -296,18 +299,11 @@
     /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
     /// machines that the list still names, and against a processor so full that it turns set-ups away, which
     /// costs it work. Could do harm where single answers get lost: the next call that stands ends it.
-    fn suspect_more(&mut self, now: Time, told: Duration, gateways: u32, why: &str, out: &mut Vec<Action>) {
-        // All gateways together try about twice a second: trials alone must not keep a small server jammed.
-        let longest = TRIAL.1.max(TRIAL_SHARE * gateways);
-        let pause = match self.suspect {
-            None => {
-                out.push(Action::Log(format!("server {} {why}, trials only", self.entry.id.0)));
-                TRIAL.0
-            }
-            Some((next, pause)) if now >= next => (pause * 2).min(longest),
-            Some(_) => return,
-        };
-        self.suspect = Some((now.plus(pause.max(told.min(TRIAL.1))), pause));
+    fn suspect_more(&mut self, now: Time, told: Duration, why: &str, out: &mut Vec<Action>) {
+        if self.suspect.is_none() {
+            out.push(Action::Log(format!("server {} {why}, trials only", self.entry.id.0)));
+        }
+        self.suspect = Some(now.plus(told.clamp(TRIAL.0, TRIAL.1)));
     }
 
     /// Set-ups a second that this gateway may send, where its share of something scarce limits them.
@@ -328,7 +324,8 @@
             let least = if now.since(told) > FREE_MEMORY { 1.0 } else { 0.0 };
             LINES_PACE * free.max(least) / gateways
         });
-        cold.into_iter().chain(lines).reduce(f64::min)
+        let trials = self.suspect.map(|_| (TRIAL_PACE * self.usual).max(TRIAL_LEAST / gateways));
+        cold.into_iter().chain(lines).chain(trials).reduce(f64::min)
     }
 
     /// Whether the pace allows a set-up now. Credit starts at a random phase: many gateways, each with less
@@ -627,13 +624,7 @@
                 match (self.servers.get_mut(&attempt.1), note) {
                     (Some(s), Note::ProcessorFull(wait)) => {
                         s.tick_full = true;
-                        s.suspect_more(
-                            now,
-                            wait.unwrap_or_default(),
-                            self.settings.gateways,
-                            "is full",
-                            actions,
-                        );
+                        s.suspect_more(now, wait.unwrap_or_default(), "is full", actions);
                     }
                     (Some(s), Note::NoCircuit) => s.free = Some((0.0, now)),
                     _ => {}
@@ -675,9 +666,9 @@
         if outcome == Outcome::Moot || !(silent || cancelled && s.suspect.is_some()) {
             return;
         }
-        s.misses += 1;
+        s.misses += if outcome == Outcome::ConnectFailed { MISSES } else { 1 };
         if s.misses >= MISSES {
-            s.suspect_more(now, Duration::ZERO, self.settings.gateways, "is silent", actions);
+            s.suspect_more(now, Duration::ZERO, "is silent", actions);
         }
     }
 
@@ -755,7 +746,7 @@
                 s.entry.cell != home && (!c.new.transit || s.entry.cell == c.new.destination)
             }
         };
-        let trial = s.suspect.is_none_or(|(next, _)| now >= next && s.waiting.is_empty());
+        let trial = s.suspect.is_none_or(|next| now >= next && s.waiting.is_empty());
         let alive = c.out.is_none() && !c.standing && c.not_before < now && now < c.answer_by;
         alive
             && c.attempts < self.settings.limits.max_attempts
