--- a/src/brain.rs
+++ b/src/brain.rs
@@ -176,7 +176,8 @@
     misses: u32,
     waiting: BTreeSet<(Time, CallId)>,
     /// No trial before this time.
-    suspect: Option<Time>,
+    not_before: Time,
+    suspect: bool,
     /// Since when, and until when, its processor is taken for cold.
     cold: Option<(Time, Time)>,
     /// Set-ups that a pace allows now, and when that was counted.
@@ -206,7 +207,8 @@
             answered_up_to: Time::default(),
             misses: 0,
             waiting: BTreeSet::new(),
-            suspect: None,
+            not_before: Time::default(),
+            suspect: false,
             cold: None,
             usual: 0.0,
             usual_ticks: 0,
@@ -275,7 +277,7 @@
             self.answered.pop_front();
         }
         // A long mean: its noise over gateways cancels out in their sum. Trouble is no measure.
-        if self.cold.is_none() && self.suspect.is_none() && self.entry.state == ServerState::Ready {
+        if self.cold.is_none() && !self.suspect && self.entry.state == ServerState::Ready {
             let seen = f64::from(self.stood) / TICK.as_secs_f64();
             self.usual_ticks = (self.usual_ticks + 1).min(USUAL_TICKS);
             self.usual += (seen - self.usual) / f64::from(self.usual_ticks);
@@ -299,11 +301,12 @@
     /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
     /// machines that the list still names, and against a processor so full that it turns set-ups away, which
     /// costs it work. Could do harm where single answers get lost: the next call that stands ends it.
-    fn suspect_more(&mut self, now: Time, told: Duration, why: &str, out: &mut Vec<Action>) {
-        if self.suspect.is_none() {
-            out.push(Action::Log(format!("server {} {why}, trials only", self.entry.id.0)));
+    fn suspect_it(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.suspect {
+            out.push(Action::Log(format!("server {} is silent, trials only", self.entry.id.0)));
         }
-        self.suspect = Some(now.plus(told.clamp(TRIAL.0, TRIAL.1)));
+        self.suspect = true;
+        self.not_before = now.plus(TRIAL.0);
     }
 
     /// Set-ups a second that this gateway may send, where its share of something scarce limits them.
@@ -324,7 +327,7 @@
             let least = if now.since(told) > FREE_MEMORY { 1.0 } else { 0.0 };
             LINES_PACE * free.max(least) / gateways
         });
-        let trials = self.suspect.map(|_| (TRIAL_PACE * self.usual).max(TRIAL_LEAST / gateways));
+        let trials = self.suspect.then(|| (TRIAL_PACE * self.usual).max(TRIAL_LEAST / gateways));
         cold.into_iter().chain(lines).chain(trials).reduce(f64::min)
     }
 
@@ -575,12 +578,12 @@
             s.answered.push_back(now);
             s.stood += 1;
         }
-        if s.suspect.is_some() && now.since(s.last_answer) >= RESTART_SILENCE {
+        if s.suspect && now.since(s.last_answer) >= RESTART_SILENCE {
             s.cold = Some((now, now.plus(self.settings.rules.cold_time)));
             s.credit = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX), now);
         }
         s.last_answer = now;
-        if took.is_some() && s.suspect.take().is_some() {
+        if took.is_some() && std::mem::take(&mut s.suspect) {
             out.push(Action::Log(format!("server {} takes set-ups again", id.0)));
         }
     }
@@ -624,7 +627,7 @@
                 match (self.servers.get_mut(&attempt.1), note) {
                     (Some(s), Note::ProcessorFull(wait)) => {
                         s.tick_full = true;
-                        s.suspect_more(now, wait.unwrap_or_default(), "is full", actions);
+                        s.not_before = now.plus(wait.unwrap_or_default().clamp(TRIAL.0, TRIAL.1));
                     }
                     (Some(s), Note::NoCircuit) => s.free = Some((0.0, now)),
                     _ => {}
@@ -663,12 +666,12 @@
         let sent = s.waiting.iter().find(|(_, c)| *c == call).map(|(t, _)| *t);
         s.waiting.retain(|(_, c)| *c != call);
         let silent = sent.is_some_and(|t| s.last_answer < t);
-        if outcome == Outcome::Moot || !(silent || cancelled && s.suspect.is_some()) {
+        if outcome == Outcome::Moot || !(silent || cancelled && s.suspect) {
             return;
         }
         s.misses += if outcome == Outcome::ConnectFailed { MISSES } else { 1 };
         if s.misses >= MISSES {
-            s.suspect_more(now, Duration::ZERO, "is silent", actions);
+            s.suspect_it(now, actions);
         }
     }
 
@@ -746,7 +749,7 @@
                 s.entry.cell != home && (!c.new.transit || s.entry.cell == c.new.destination)
             }
         };
-        let trial = s.suspect.is_none_or(|next| now >= next && s.waiting.is_empty());
+        let trial = now >= s.not_before && (!s.suspect || s.waiting.is_empty());
         let alive = c.out.is_none() && !c.standing && c.not_before < now && now < c.answer_by;
         alive
             && c.attempts < self.settings.limits.max_attempts
@@ -770,7 +773,7 @@
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let mut within = c.answer_by.since(now);
         // A trial that waits is sent again, which is work again: so it is cut when a rescue would be.
-        if s.suspect.is_some() {
+        if s.suspect {
             within = within.min(c.aim.mul_f64(RESCUE.1));
         }
         c.out = Some((AttemptNo(c.attempts), server));
@@ -849,7 +852,7 @@
                 let Some(c) = self.calls.get(call).filter(|c| !c.cancelling) else { continue };
                 let aim = c.aim.as_secs_f64();
                 let after = (s.mean_delay.unwrap_or(0.0) * RESCUE.0).max(aim * RESCUE.1);
-                let lively = |t: &Server| t.last_answer > *sent && t.suspect.is_none();
+                let lively = |t: &Server| t.last_answer > *sent && !t.suspect;
                 let hung = now.since(*sent).as_secs_f64() > after && s.last_answer < *sent;
                 if s.overtaken(*sent) || hung && self.servers.iter().any(|(o, t)| o != id && lively(t)) {
                     calls.push(*call);
