No draws for answers and ends of calls: arrivals, failed attempts and ticks only

Cause: with calls held a gateway drew about 15 times a second for 3.5 arrivals, so that even small f sent a small server more than it can do.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -436,7 +436,6 @@
                 if let Some(c) = known {
                     c.standing = true;
                     self.answered(now, server, call, Some(took), actions);
-                    self.offer_held(now, actions);
                 }
             }
             Event::Closed { call, attempt, server, done, outcome, note, report, .. } => {
@@ -649,7 +648,9 @@
         } else {
             self.held.extend(self.calls.get(&call).map(Self::place_in_line));
         }
-        self.offer_held(now, actions);
+        if !stood {
+            self.offer_held(now, actions);
+        }
     }
 
     /// A set-up ended with no word from the server.
