--- a/src/brain.rs
+++ b/src/brain.rs
@@ -80,6 +80,11 @@
 const QUOTA_BURST_S: f64 = 4.0;
 /// Between two questions for the list after a failure, as a share of the longest allowed.
 const ASK_SHARE: u32 = 8;
+/// Ticks between two messages to other gateways, and the receivers of each: many more samples than a gateway
+/// has itself, at a small price. Ours.
+const NEWS: (u32, u32) = (5, 4);
+/// The longest delay that news may tell, in milliseconds.
+const NEWS_MOST: u32 = 60_000;
 const TICK_TIMER: TimerId = TimerId(0);
 
 // ---- The ARO throttle, one for each server -----------------------------------------------------------
@@ -167,6 +172,10 @@
     floor: Option<f64>,
     samples: u32,
     tick_delays: (f64, u32),
+    /// Own samples of the delay since the last message to other gateways.
+    news: (f64, u32),
+    /// Samples told by other gateways in this tick.
+    told_delays: (f64, u32),
     tick_full: bool,
     mean_delay: Option<f64>,
     slow_reading: f64,
@@ -199,6 +208,8 @@
             floor: None,
             samples: 0,
             tick_delays: (0.0, 0),
+            news: (0.0, 0),
+            told_delays: (0.0, 0),
             tick_full: false,
             mean_delay: None,
             slow_reading: 0.0,
@@ -256,6 +267,8 @@
                 n += 1;
             }
         }
+        self.news = (self.news.0 + sum, self.news.1 + n);
+        (sum, n) = (sum + self.told_delays.0, n + self.told_delays.1);
         let mean = (n > 0).then(|| sum / f64::from(n));
         let by_floor = mean.zip(floor).map(|(m, f)| (1.0 - f / m).clamp(0.0, 1.0));
         // A far wait beyond its share of the aim is too long at any smallest delay.
@@ -270,6 +283,7 @@
         self.slow_reading += 0.1 * (reading.unwrap_or(0.0) - self.slow_reading);
         self.throttle.assess(reading);
         self.tick_delays = (0.0, 0);
+        self.told_delays = (0.0, 0);
         self.tick_full = false;
         self.utilisation = None;
         self.floor = self.floor.map(|x| x * (1.0 + FLOOR_AGEING * TICK.as_secs_f64()));
@@ -391,6 +405,7 @@
     numbers: BTreeMap<Arc<str>, NumberLog>,
     quota: Vec<(f64, Time)>,
     next_tick: Time,
+    ticks: u32,
     next_sweep: Time,
     listed: bool,
     asked: Option<Time>,
@@ -413,6 +428,7 @@
             held: BTreeSet::new(),
             numbers: BTreeMap::new(),
             next_tick: Time::default(),
+            ticks: 0,
             next_sweep: Time::default(),
             listed: false,
             asked: None,
@@ -448,7 +464,7 @@
                     s.free = report.free.map(|x| (x, now)).or(s.free);
                 }
             }
-            Event::Mail { .. } => {}
+            Event::Mail { from, text } => self.on_news(from, &text),
         }
         if now >= self.next_sweep {
             self.sweep(now, actions);
@@ -837,9 +853,47 @@
             }
         }
         self.numbers.retain(|_, log| now.since(log.last) < NUMBER_MEMORY);
+        self.tell_news(actions);
         self.offer_held(now, actions);
     }
 
+    /// Tells a few other gateways, drawn anew each time, what delays were seen here. With hundreds of gateways
+    /// each has too few samples of its own; messages may all be lost, then it goes by those alone.
+    fn tell_news(&mut self, actions: &mut Vec<Action>) {
+        self.ticks = (self.ticks + 1) % NEWS.0;
+        let (me, gateways) = (self.settings.me.0, self.settings.gateways);
+        if self.ticks != 0 || !self.settings.limits.peers || gateways < 2 {
+            return;
+        }
+        let mut text = String::from("1");
+        for (id, s) in &mut self.servers {
+            let (sum, n) = std::mem::take(&mut s.news);
+            if n > 0 && text.len() < 230 {
+                text += &format!(" {}:{:.0}", id.0, 1e3 * sum / f64::from(n));
+            }
+        }
+        for _ in 0..NEWS.1.min(gateways - 1) {
+            let step = 1 + self.rng.next_u32() % (gateways - 1);
+            let to = Some(PeerId((me + step) % gateways));
+            if text.len() > 1 {
+                actions.push(Action::Tell { to, text: text.clone() });
+            }
+        }
+    }
+
+    /// Delays told by another gateway are samples like the own ones. What cannot be read is left out.
+    fn on_news(&mut self, from: PeerId, text: &str) {
+        let known = self.settings.limits.peers && from != self.settings.me && from.0 < self.settings.gateways;
+        let Some(lines) = text.strip_prefix("1 ").filter(|_| known) else { return };
+        for (id, ms) in lines.split(' ').filter_map(|line| line.split_once(':')) {
+            let (Ok(id), Ok(ms)) = (id.parse().map(ServerId), ms.parse::<u32>()) else { continue };
+            if let Some(s) = self.servers.get_mut(&id).filter(|_| ms <= NEWS_MOST) {
+                s.told_delays.0 += f64::from(ms) / 1e3;
+                s.told_delays.1 += 1;
+            }
+        }
+    }
+
     /// Calls an attempt off whose answer was overtaken by a later one, or whose server has answered nothing
     /// since it was sent while another server does: the call can still stand elsewhere. Guards against lost
     /// messages and hangs that the list does not show. Could do harm where work on given-up set-ups goes on.
