--- a/src/brain.rs
+++ b/src/brain.rs
@@ -176,6 +176,8 @@
     news: (f64, u32),
     /// Samples told by other gateways in this tick.
     told_delays: (f64, u32),
+    /// Ticks since the last own sample.
+    unsampled: usize,
     tick_full: bool,
     mean_delay: Option<f64>,
     slow_reading: f64,
@@ -210,6 +212,7 @@
             tick_delays: (0.0, 0),
             news: (0.0, 0),
             told_delays: (0.0, 0),
+            unsampled: 0,
             tick_full: false,
             mean_delay: None,
             slow_reading: 0.0,
@@ -268,7 +271,11 @@
             }
         }
         self.news = (self.news.0 + sum, self.news.1 + n);
-        (sum, n) = (sum + self.told_delays.0, n + self.told_delays.1);
+        // News fills the gaps between own samples: where those are enough, late ones would only overdo it.
+        self.unsampled = if n > 0 { 0 } else { self.unsampled + 1 };
+        if self.unsampled >= K_SHORT {
+            (sum, n) = self.told_delays;
+        }
         let mean = (n > 0).then(|| sum / f64::from(n));
         let by_floor = mean.zip(floor).map(|(m, f)| (1.0 - f / m).clamp(0.0, 1.0));
         // A far wait beyond its share of the aim is too long at any smallest delay.
