--- a/src/brain.rs
+++ b/src/brain.rs
@@ -322,9 +322,13 @@
     /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
     /// machines that the list still names, and against a processor so full that it turns set-ups away, which
     /// costs it work. Could do harm where single answers get lost: the next call that stands ends it.
-    fn suspect_it(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn miss(&mut self, now: Time, count: u32, out: &mut Vec<Action>) {
+        self.misses += count;
+        if self.misses < MISSES {
+            return;
+        }
         if !self.suspect {
-            out.push(Action::Log(format!("server {} is silent, trials only", self.entry.id.0)));
+            out.push(Action::Log(format!("server {} sets nothing up, trials only", self.entry.id.0)));
         }
         self.suspect = true;
         self.not_before = now.plus(TRIAL.0);
@@ -593,8 +597,8 @@
     ) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.waiting.retain(|(_, c)| *c != call);
-        s.misses = 0;
         if let Some(took) = took {
+            s.misses = 0;
             s.answered_up_to = s.answered_up_to.max(now.minus(took));
             s.note_delay(took.as_secs_f64());
             s.answered.push_back(now);
@@ -649,6 +653,7 @@
                 match (self.servers.get_mut(&attempt.1), note) {
                     (Some(s), Note::ProcessorFull(wait)) => {
                         s.tick_full = true;
+                        s.miss(now, 1, actions);
                         s.not_before = now.plus(wait.unwrap_or_default().clamp(TRIAL.0, TRIAL.1));
                     }
                     (Some(s), Note::NoCircuit) => s.free = Some((0.0, now)),
@@ -693,10 +698,7 @@
         if outcome == Outcome::Moot || !(silent || cancelled && s.suspect) {
             return;
         }
-        s.misses += if outcome == Outcome::ConnectFailed { MISSES } else { 1 };
-        if s.misses >= MISSES {
-            s.suspect_it(now, actions);
-        }
+        s.miss(now, if outcome == Outcome::ConnectFailed { MISSES } else { 1 }, actions);
     }
 
     // ---- Routing -------------------------------------------------------------------------------------
