--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,10 +23,15 @@
 const RHO_LEARN: f64 = 0.3;
 /// φmax: the fraction allowed grows by this much a tick at the most.
 const PHI_MAX: f64 = 1.25;
-/// The same without a reading, in a tick that asks for set-ups: just enough that no server stays shut out.
-const PHI_UNREAD: f64 = 1.06;
-/// fmin: keeps samples coming, so that no server stays shut out.
-const F_MIN: f64 = 0.01;
+/// Without a reading f grows by φmax in this many usual set-ups of this gateway: what it heard last holds as
+/// long as it takes to hear again. Ours.
+const UNREAD_SETUPS: f64 = 0.4;
+/// The least share of φmax's exponent a tick, so that no server stays shut out.
+const UNREAD_LEAST: f64 = 0.25;
+/// fmin keeps samples coming, so that no server stays shut out; the floors of all gateways add up, to this.
+const F_MIN_SUM: f64 = 0.5;
+/// Bounds of fmin: so that it means little at one gateway, and that f still comes back from it among many.
+const F_MIN: (f64, f64) = (0.005, 0.05);
 /// Growth of the smallest delay a second, so that one lucky sample does not stand for ever.
 const FLOOR_AGEING: f64 = 0.01;
 /// Between two looks at the calls held; deadlines are kept to within two of these.
@@ -46,8 +51,8 @@
 const COLD_RAMP: f64 = 0.8;
 /// Ticks in the long mean of the rate that is usual at a server (20 s): long enough for some set-ups. Ours.
 const USUAL_TICKS: u32 = 100;
-/// An unanswered set-up is called off after this multiple of the usual delay and this share of the aim.
-const RESCUE: (f64, f64) = (2.5, 0.5);
+/// A trial is given this share of the aim: one that waits is sent again, which is work again.
+const TRIAL_CUT: f64 = 0.5;
 /// A set-up answered though sent this much later than another shows that the other's answer is lost.
 const OVERTAKE: Duration = Duration::from_millis(100);
 /// So many set-ups in a row without an answer make a server suspect.
@@ -60,22 +65,16 @@
 const TRIAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
 /// Trials as a share of the usual set-ups: from all gateways together too few to keep a server jammed.
 const TRIAL_PACE: f64 = 0.2;
-/// Trials a second from all gateways together that are always allowed.
-const TRIAL_LEAST: f64 = 2.0;
+/// Set-ups a second to one server, from all gateways together, that every pace allows.
+const LEAST_PACE: f64 = 2.0;
 /// Set-ups that stood are counted over this long for a server's rate. Ours.
 const RATE_SPAN: Duration = Duration::from_secs(2);
-/// A silence of this length may have been a restart: the server is taken for cold.
-const RESTART_SILENCE: Duration = Duration::from_secs(3);
-/// A number is hot with this many calls in `NUMBER_MEMORY`.
-const HOT_CALLS: u32 = 5;
 /// No set-ups to a number for this long after its lines were all busy. Ours.
 const BUSY_PAUSE: Duration = Duration::from_secs(2);
 /// Held calls looked through for one that a server is open to.
 const LOOK_THROUGH: usize = 8;
 /// How long a number is remembered after its last call.
 const NUMBER_MEMORY: Duration = Duration::from_secs(10);
-/// Share of its worth that a hot number's call counts for when calls compete.
-const HOT_WORTH: f64 = 0.1;
 /// Seconds of its quota that a tenant may use at once.
 const QUOTA_BURST_S: f64 = 4.0;
 /// Between two questions for the list after a failure, as a share of the longest allowed.
@@ -89,7 +88,7 @@
 
 // ---- The ARO throttle, one for each server -----------------------------------------------------------
 /// Fraction allowed from acceptance rate and occupancy, applied by the deterministic accumulator.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Throttle {
     pub(crate) f: f64,
     r: f64,
@@ -103,8 +102,7 @@
 
 impl Throttle {
     pub(crate) fn new() -> Self {
-        let (counts, readings) = (VecDeque::new(), VecDeque::new());
-        Self { f: 1.0, r: 0.0, passed: 0, drawn: false, counts, readings, mu_max: None, ticks: 0 }
+        Self { f: 1.0, ..Self::default() }
     }
 
     /// Determ.: r gains f; at 1 or more r loses 1 and the set-up goes.
@@ -135,7 +133,7 @@
     }
 
     /// Ends a tick: f = min(fA, fO).
-    pub(crate) fn assess(&mut self, reading: Option<f64>) {
+    pub(crate) fn assess(&mut self, reading: Option<f64>, f_min: f64, unread: f64) {
         self.counts.push_back(f64::from(self.passed));
         self.readings.push_back(reading);
         self.passed = 0;
@@ -151,13 +149,13 @@
         }
         // No reading at all (nothing sent, nothing unanswered) is no sign of load: f may grow, but only as
         // fast as it is asked for set-ups. One that comes every few seconds must not forget its last reading.
-        let unread = if self.drawn { PHI_UNREAD } else { 1.0 };
+        let unread = if self.drawn { PHI_MAX.powf(unread) } else { 1.0 };
         let phi = rho.map_or(unread, |x| (RHO_TARGET / x.max(1e-6)).min(PHI_MAX));
         self.drawn = false;
-        let f_o = (phi * self.f).clamp(F_MIN, 1.0);
+        let f_o = (phi * self.f).clamp(f_min, 1.0);
         let armed = self.readings.iter().flatten().any(|x| *x > RHO_TARGET);
         let f_a = match self.mu_max {
-            Some(mu) if armed && alpha > 0.0 => (RHO_TARGET * mu / alpha * self.f).clamp(F_MIN, 1.0),
+            Some(mu) if armed && alpha > 0.0 => (RHO_TARGET * mu / alpha * self.f).clamp(f_min, 1.0),
             _ => 1.0,
         };
         self.f = f_a.min(f_o);
@@ -165,7 +163,7 @@
 }
 
 // ---- A server's health -------------------------------------------------------------------------------
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Server {
     entry: ServerEntry,
     throttle: Throttle,
@@ -203,34 +201,8 @@
 
 impl Server {
     fn new(entry: ServerEntry, now: Time, credit: f64) -> Self {
-        Self {
-            credit: (credit, now),
-            entry,
-            throttle: Throttle::new(),
-            floor: None,
-            samples: 0,
-            tick_delays: (0.0, 0),
-            news: (0.0, 0),
-            told_delays: (0.0, 0),
-            unsampled: 0,
-            tick_full: false,
-            mean_delay: None,
-            slow_reading: 0.0,
-            answered: VecDeque::new(),
-            last_answer: now,
-            answered_up_to: Time::default(),
-            misses: 0,
-            waiting: BTreeSet::new(),
-            not_before: Time::default(),
-            suspect: false,
-            cold: None,
-            usual: 0.0,
-            usual_ticks: 0,
-            stood: 0,
-            utilisation: None,
-            free: None,
-            pressed: false,
-        }
+        let throttle = Throttle::new();
+        Self { entry, throttle, last_answer: now, credit: (credit, now), ..Self::default() }
     }
 
     /// Own set-ups that still wait in the server's line, oldest first. One that a clearly later one has
@@ -260,7 +232,7 @@
     /// Ends a tick. Guards against delays that nobody sees yet: the age of an unanswered set-up that already
     /// exceeds the usual delay counts as one, so a hang shows within a second. It answers for stalls and
     /// slow servers too; it could do harm where single answers are lost, which f then forgives in k ticks.
-    fn tick(&mut self, now: Time, floor: Option<f64>, aim: f64) {
+    fn tick(&mut self, now: Time, floor: Option<f64>, aim: f64, f_min: f64) {
         let (mut sum, mut n) = self.tick_delays;
         let usual = self.mean_delay.unwrap_or(0.0).max(2.0 * floor.unwrap_or(0.0));
         for (sent, _) in self.in_line() {
@@ -288,7 +260,8 @@
             self.mean_delay = self.mean_delay.map(|x| x + 0.1 * (floor.unwrap_or(x) - x));
         }
         self.slow_reading += 0.1 * (reading.unwrap_or(0.0) - self.slow_reading);
-        self.throttle.assess(reading);
+        let unread = (self.usual * TICK.as_secs_f64() / UNREAD_SETUPS).clamp(UNREAD_LEAST, 1.0);
+        self.throttle.assess(reading, f_min, unread);
         self.tick_delays = (0.0, 0);
         self.told_delays = (0.0, 0);
         self.tick_full = false;
@@ -340,19 +313,19 @@
     /// Few free lines: all gateways are told the same number, and each takes its share of them.
     /// Could do harm where this gateway's calls grow fast: the server is then used too little.
     fn pace(&self, now: Time, settings: &Settings) -> Option<f64> {
-        let rules = &settings.rules;
+        let (rules, gateways) = (&settings.rules, f64::from(settings.gateways));
+        let usual = self.usual.max(LEAST_PACE / gateways);
         let cold = self.cold.filter(|(_, until)| now < *until).map(|(since, _)| {
             let done = now.since(since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
             let part = rules.cold_from + (1.0 - rules.cold_from) * COLD_RAMP * done.min(1.0);
-            (rules.fall_multiple * COLD_SHARE).min(COLD_MOST) * part * self.usual
+            (rules.fall_multiple * COLD_SHARE).min(COLD_MOST) * part * usual
         });
-        let gateways = f64::from(settings.gateways);
         let shared = self.free.filter(|(free, _)| *free < gateways && settings.topology == Topology::Pools);
         let lines = shared.map(|(free, told)| {
             let least = if now.since(told) > FREE_MEMORY { 1.0 } else { 0.0 };
             LINES_PACE * free.max(least) / gateways
         });
-        let trials = self.suspect.then(|| (TRIAL_PACE * self.usual).max(TRIAL_LEAST / gateways));
+        let trials = self.suspect.then(|| (TRIAL_PACE * usual).max(LEAST_PACE / gateways));
         cold.into_iter().chain(lines).chain(trials).reduce(f64::min)
     }
 
@@ -368,7 +341,7 @@
 }
 
 // ---- A call's life -----------------------------------------------------------------------------------
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Call {
     new: NewCall,
     answer_by: Time,
@@ -385,7 +358,6 @@
     maybe_ran: Option<(Time, ServerId)>,
     sent_at: Time,
     failed: Option<ServerId>,
-    cancelling: bool,
 }
 
 impl Call {
@@ -401,7 +373,6 @@
 struct NumberLog {
     first: Time,
     last: Time,
-    calls: u32,
     busy_until: Time,
 }
 
@@ -421,6 +392,7 @@
     listed: bool,
     asked: Option<Time>,
     subscribed: bool,
+    actions: Vec<Action>,
 }
 
 impl Controller {
@@ -444,6 +416,7 @@
             listed: false,
             asked: None,
             subscribed: false,
+            actions: Vec::new(),
         })
     }
 
@@ -455,18 +428,18 @@
             self.next_sweep = now;
         }
         match event {
-            Event::List { kind, entries } => self.on_list(now, kind, entries, actions),
-            Event::Call(new) => self.on_call(now, new, actions),
+            Event::List { kind, entries } => self.on_list(now, kind, entries),
+            Event::Call(new) => self.on_call(now, new),
             Event::Standing { call, attempt, server, took } => {
                 let known =
                     self.calls.get_mut(&call).filter(|c| c.out == Some((attempt, server)) && !c.standing);
                 if let Some(c) = known {
                     c.standing = true;
-                    self.answered(now, server, call, Some(took), actions);
+                    self.answered(now, server, call, Some(took));
                 }
             }
             Event::Closed { call, attempt, server, done, outcome, note, report, .. } => {
-                self.on_closed(now, call, (attempt, server), (done, outcome, note), report, actions);
+                self.on_closed(now, call, (attempt, server), (done, outcome, note), report);
             }
             Event::Lapsed(call) => self.forget(call),
             Event::Timer(_) => {}
@@ -478,33 +451,30 @@
             Event::Mail { from, text } => self.on_news(from, &text),
         }
         if now >= self.next_sweep {
-            self.sweep(now, actions);
+            self.sweep(now);
             self.next_sweep = now.plus(SWEEP);
-            actions.push(Action::SetTimer { after: SWEEP, timer: TICK_TIMER });
+            self.actions.push(Action::SetTimer { after: SWEEP, timer: TICK_TIMER });
         }
+        actions.append(&mut self.actions);
     }
 
     fn unit(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    fn on_call(&mut self, now: Time, new: NewCall, actions: &mut Vec<Action>) {
+    fn on_call(&mut self, now: Time, new: NewCall) {
         if self.calls.contains_key(&new.id) {
             return;
         }
         let Some(class) = new.class.and_then(|c| self.settings.classes.get(c.0)).cloned() else {
-            actions.push(Action::Refuse { call: new.id, retry_after: Duration::ZERO });
+            self.actions.push(Action::Refuse { call: new.id, retry_after: Duration::ZERO });
             return;
         };
         let log = self.numbers.entry(new.number.clone());
-        let log = log.or_insert(NumberLog { first: now, last: now, calls: 0, busy_until: Time::default() });
-        log.calls += 1;
+        let log = log.or_insert(NumberLog { first: now, last: now, busy_until: Time::default() });
         log.last = now;
         let busy = now < log.busy_until;
-        let (mut worth, mut first) = (class.points, log.first);
-        if log.calls >= HOT_CALLS {
-            (worth, first) = (worth * HOT_WORTH, now);
-        }
+        let (mut worth, first) = (class.points, log.first);
         if new.tenant.is_some_and(|t| !self.within_quota(now, t)) {
             worth *= self.settings.over_share_worth;
         }
@@ -518,30 +488,24 @@
             worth,
             late_share: class.late_share,
             effect: class.effect,
-            attempts: 0,
-            out: None,
-            standing: false,
-            not_before: Time::default(),
-            maybe_ran: None,
             sent_at: now,
-            failed: None,
-            cancelling: false,
             new,
+            ..Call::default()
         };
         call.discount_if_late(now);
         self.held.insert(Self::place_in_line(&call));
         self.calls.insert(id, call);
         // Guards against calls that come with next to no time left, as after this process stood still.
         if margin + SWEEP > left {
-            return self.give_up(id, Duration::ZERO, actions);
+            return self.give_up(id, Duration::ZERO);
         }
         // Guards against a flood to one number: sets up nothing while its lines were just seen busy. Could do
         // harm to a number with one short call after another.
         if busy {
-            return self.give_up(id, self.settings.limits.max_retry_after, actions);
+            return self.give_up(id, self.settings.limits.max_retry_after);
         }
-        if !self.offer_held(now, actions) {
-            self.place(now, id, actions);
+        if !self.offer_held(now) {
+            self.place(now, id);
         }
     }
 
@@ -571,7 +535,7 @@
     }
 
     /// The one final answer of a call that goes no further.
-    fn give_up(&mut self, call: CallId, retry_after: Duration, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, call: CallId, retry_after: Duration) {
         let Some(c) = self.calls.get(&call) else { return };
         let refusable = match (c.effect, c.maybe_ran) {
             (Effect::Safe, _) | (_, None) => c.out.is_none() || c.effect == Effect::Safe,
@@ -579,22 +543,15 @@
             (Effect::Unsafe, Some(_)) => false,
         };
         if refusable {
-            actions.push(Action::Refuse { call, retry_after });
+            self.actions.push(Action::Refuse { call, retry_after });
         } else {
-            actions.push(Action::Fail(call));
+            self.actions.push(Action::Fail(call));
         }
         self.forget(call);
     }
 
     /// A server gave a sign of life for one of its set-ups.
-    fn answered(
-        &mut self,
-        now: Time,
-        id: ServerId,
-        call: CallId,
-        took: Option<Duration>,
-        out: &mut Vec<Action>,
-    ) {
+    fn answered(&mut self, now: Time, id: ServerId, call: CallId, took: Option<Duration>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.waiting.retain(|(_, c)| *c != call);
         if let Some(took) = took {
@@ -604,13 +561,9 @@
             s.answered.push_back(now);
             s.stood += 1;
         }
-        if s.suspect && now.since(s.last_answer) >= RESTART_SILENCE {
-            s.cold = Some((now, now.plus(self.settings.rules.cold_time)));
-            s.credit = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX), now);
-        }
         s.last_answer = now;
         if took.is_some() && std::mem::take(&mut s.suspect) {
-            out.push(Action::Log(format!("server {} takes set-ups again", id.0)));
+            self.actions.push(Action::Log(format!("server {} takes set-ups again", id.0)));
         }
     }
 
@@ -621,7 +574,6 @@
         attempt: (AttemptNo, ServerId),
         (done, outcome, note): (bool, Outcome, Note),
         report: Report,
-        actions: &mut Vec<Action>,
     ) {
         if let Some(s) = self.servers.get_mut(&attempt.1) {
             s.free = report.free.map(|x| (x, now)).or(s.free);
@@ -645,22 +597,21 @@
         if let (true, Some(s)) = (stood, self.servers.get_mut(&attempt.1)) {
             s.free = s.free.map(|(free, told)| (free.max(0.0) + c.new.width, told));
         }
-        let cancelled = std::mem::take(&mut c.cancelling);
         match outcome {
             _ if stood => {}
             Outcome::Full | Outcome::Error | Outcome::Ended => {
-                self.answered(now, attempt.1, call, None, actions);
+                self.answered(now, attempt.1, call, None);
                 match (self.servers.get_mut(&attempt.1), note) {
                     (Some(s), Note::ProcessorFull(wait)) => {
                         s.tick_full = true;
-                        s.miss(now, 1, actions);
+                        s.miss(now, 1, &mut self.actions);
                         s.not_before = now.plus(wait.unwrap_or_default().clamp(TRIAL.0, TRIAL.1));
                     }
                     (Some(s), Note::NoCircuit) => s.free = Some((0.0, now)),
                     _ => {}
                 }
             }
-            _ => self.unanswered(now, attempt.1, call, outcome, cancelled, actions),
+            _ => self.unanswered(now, attempt.1, call, outcome),
         }
         if note == Note::NumberBusy
             && let Some(log) = self.calls.get(&call).and_then(|c| self.numbers.get_mut(&c.new.number))
@@ -670,35 +621,27 @@
         if done || stood {
             self.forget(call);
         } else if note == Note::NumberBusy {
-            self.give_up(call, self.settings.limits.max_retry_after, actions);
+            self.give_up(call, self.settings.limits.max_retry_after);
         } else if self.calls.get(&call).is_some_and(|c| c.attempts >= self.settings.limits.max_attempts) {
-            self.give_up(call, Duration::ZERO, actions);
+            self.give_up(call, Duration::ZERO);
         } else {
             self.held.extend(self.calls.get(&call).map(Self::place_in_line));
         }
         if !stood {
-            self.offer_held(now, actions);
+            self.offer_held(now);
         }
     }
 
     /// A set-up ended with no word from the server.
-    fn unanswered(
-        &mut self,
-        now: Time,
-        id: ServerId,
-        call: CallId,
-        outcome: Outcome,
-        cancelled: bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn unanswered(&mut self, now: Time, id: ServerId, call: CallId, outcome: Outcome) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         let sent = s.waiting.iter().find(|(_, c)| *c == call).map(|(t, _)| *t);
         s.waiting.retain(|(_, c)| *c != call);
         let silent = sent.is_some_and(|t| s.last_answer < t);
-        if outcome == Outcome::Moot || !(silent || cancelled && s.suspect) {
+        if outcome == Outcome::Moot || !(silent || s.suspect) {
             return;
         }
-        s.miss(now, if outcome == Outcome::ConnectFailed { MISSES } else { 1 }, actions);
+        s.miss(now, if outcome == Outcome::ConnectFailed { MISSES } else { 1 }, &mut self.actions);
     }
 
     // ---- Routing -------------------------------------------------------------------------------------
@@ -709,16 +652,16 @@
 
     /// One draw, for an arrival or for room that has come up: the best call held makes it. One that no server
     /// is open to does not draw and stands in nobody's way.
-    fn offer_held(&mut self, now: Time, actions: &mut Vec<Action>) -> bool {
+    fn offer_held(&mut self, now: Time) -> bool {
         let ready = |id: &CallId| self.calls.get(id).is_some_and(|c| c.out.is_none() && c.not_before < now);
         let ids = self.held.iter().map(|(_, _, id)| *id);
         let best: Vec<CallId> = ids.filter(ready).take(LOOK_THROUGH).collect();
-        best.into_iter().any(|call| self.place(now, call, actions))
+        best.into_iter().any(|call| self.place(now, call))
     }
 
     /// First-choice server, else one load-weighted redraw among the rest; each passes its own throttle.
     /// Tells whether the call drew: no server may be open to it.
-    fn place(&mut self, now: Time, id: CallId, actions: &mut Vec<Action>) -> bool {
+    fn place(&mut self, now: Time, id: CallId) -> bool {
         let call = self.calls.get(&id).map(|c| (c.new.destination, c.failed));
         let Some((destination, failed)) = call else { return false };
         let mut open: Vec<ServerId> = self.servers.keys().copied().collect();
@@ -730,7 +673,7 @@
         let first = open.iter().copied().find(|s| self.servers[s].entry.cell == destination);
         if let Some(first) = first {
             if self.servers.get_mut(&first).is_some_and(|s| s.throttle.draw()) {
-                self.issue(now, id, first, actions);
+                self.issue(now, id, first);
                 return true;
             }
             open.retain(|s| *s != first);
@@ -744,7 +687,7 @@
         });
         let Some(choice) = choice.or(open.last().copied()) else { return first.is_some() };
         if self.servers.get_mut(&choice).is_some_and(|s| s.throttle.draw()) {
-            self.issue(now, id, choice, actions);
+            self.issue(now, id, choice);
         }
         true
     }
@@ -788,19 +731,17 @@
             && s.has_credit(now, &self.settings)
     }
 
-    /// Own set-ups a second that stand at a warm server, in the long mean.
+    /// Own set-ups a second that stand at a server, in the long mean over all that were warm.
     fn usual_rate(&self) -> f64 {
-        let warm = self.servers.values().filter(|s| s.cold.is_none() && s.entry.state == ServerState::Ready);
-        let rates: Vec<f64> = warm.map(|s| s.usual).collect();
+        let rates: Vec<f64> = self.servers.values().filter(|s| s.usual_ticks > 0).map(|s| s.usual).collect();
         rates.iter().sum::<f64>() / rates.len().max(1) as f64
     }
 
-    fn issue(&mut self, now: Time, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
+    fn issue(&mut self, now: Time, id: CallId, server: ServerId) {
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let mut within = c.answer_by.since(now);
-        // A trial that waits is sent again, which is work again: so it is cut when a rescue would be.
         if s.suspect {
-            within = within.min(c.aim.mul_f64(RESCUE.1));
+            within = within.min(c.aim.mul_f64(TRIAL_CUT));
         }
         c.out = Some((AttemptNo(c.attempts), server));
         c.attempts += 1;
@@ -810,16 +751,15 @@
         s.waiting.insert((now, id));
         s.credit.0 = (s.credit.0 - 1.0).max(0.0);
         self.held.remove(&Self::place_in_line(c));
-        actions.push(Action::Issue { call: id, server, within });
+        self.actions.push(Action::Issue { call: id, server, within });
     }
 
     // ---- Time ----------------------------------------------------------------------------------------
-    fn sweep(&mut self, now: Time, actions: &mut Vec<Action>) {
+    fn sweep(&mut self, now: Time) {
         if now >= self.next_tick {
             self.next_tick = now.plus(TICK);
-            self.tick(now, actions);
+            self.tick(now);
         }
-        self.rescue(now, actions);
         // Past its aim a call is worth less and takes a place further back.
         let turned = self.calls.values_mut().filter(|c| now > c.aim_at && c.late_share != 1.0 && !c.standing);
         for c in turned {
@@ -833,24 +773,25 @@
         // An attempt that is out was timed to end a little before; its outcome gets a few sweeps to come in.
         let due = due.filter(|(_, c)| c.out.is_none() || c.answer_by.plus(c.margin / 2) <= now);
         for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.give_up(id, Duration::ZERO, actions);
+            self.give_up(id, Duration::ZERO);
         }
         if self.settings.discovery == Discovery::Ask {
             let pause = self.settings.rules.ask_within / ASK_SHARE;
             if !self.subscribed && self.asked.is_none_or(|t| now.since(t) >= pause) {
                 self.asked = Some(now);
-                actions.push(Action::Subscribe);
+                self.actions.push(Action::Subscribe);
             }
         }
     }
 
-    fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
+    fn tick(&mut self, now: Time) {
         let least = self.servers.values().filter_map(|s| s.floor).min_by(f64::total_cmp);
+        let f_min = (F_MIN_SUM / f64::from(self.settings.gateways)).clamp(F_MIN.0, F_MIN.1);
         let aims = self.settings.classes.iter().map(|c| c.aim.as_secs_f64());
         let aim = aims.fold(f64::INFINITY, f64::min).max(1e-3);
         for (id, s) in &mut self.servers {
             let floor = if s.samples < 8 { least } else { s.floor };
-            s.tick(now, floor, aim);
+            s.tick(now, floor, aim, f_min);
             if s.cold.is_some_and(|(_, until)| now >= until) {
                 s.cold = None;
             }
@@ -858,17 +799,17 @@
             if pressed != s.pressed {
                 s.pressed = pressed;
                 let word = if pressed { "pressed" } else { "no longer pressed" };
-                actions.push(Action::Log(format!("server {} {word}, f {:.2}", id.0, s.throttle.f)));
+                self.actions.push(Action::Log(format!("server {} {word}, f {:.2}", id.0, s.throttle.f)));
             }
         }
         self.numbers.retain(|_, log| now.since(log.last) < NUMBER_MEMORY);
-        self.tell_news(actions);
-        self.offer_held(now, actions);
+        self.tell_news();
+        self.offer_held(now);
     }
 
-    /// Tells a few other gateways, drawn anew each time, what delays were seen here. With hundreds of gateways
+    /// Tells a few other gateways, drawn anew each time, what delays were seen here. Among hundreds of them
     /// each has too few samples of its own; messages may all be lost, then it goes by those alone.
-    fn tell_news(&mut self, actions: &mut Vec<Action>) {
+    fn tell_news(&mut self) {
         self.ticks = (self.ticks + 1) % NEWS.0;
         let (me, gateways) = (self.settings.me.0, self.settings.gateways);
         if self.ticks != 0 || !self.settings.limits.peers || gateways < 2 {
@@ -885,7 +826,7 @@
             let step = 1 + self.rng.next_u32() % (gateways - 1);
             let to = Some(PeerId((me + step) % gateways));
             if text.len() > 1 {
-                actions.push(Action::Tell { to, text: text.clone() });
+                self.actions.push(Action::Tell { to, text: text.clone() });
             }
         }
     }
@@ -903,36 +844,8 @@
         }
     }
 
-    /// Calls an attempt off whose answer was overtaken by a later one, or whose server has answered nothing
-    /// since it was sent while another server does: the call can still stand elsewhere. Guards against lost
-    /// messages and hangs that the list does not show. Could do harm where work on given-up set-ups goes on.
-    fn rescue(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if !self.settings.limits.cancel {
-            return;
-        }
-        let mut calls = Vec::new();
-        for (id, s) in &self.servers {
-            for (sent, call) in &s.waiting {
-                let Some(c) = self.calls.get(call).filter(|c| !c.cancelling) else { continue };
-                let aim = c.aim.as_secs_f64();
-                let after = (s.mean_delay.unwrap_or(0.0) * RESCUE.0).max(aim * RESCUE.1);
-                let lively = |t: &Server| t.last_answer > *sent && !t.suspect;
-                let hung = now.since(*sent).as_secs_f64() > after && s.last_answer < *sent;
-                if s.overtaken(*sent) || hung && self.servers.iter().any(|(o, t)| o != id && lively(t)) {
-                    calls.push(*call);
-                }
-            }
-        }
-        for call in calls {
-            let Some(c) = self.calls.get_mut(&call) else { continue };
-            let Some((attempt, _)) = c.out else { continue };
-            c.cancelling = true;
-            actions.push(Action::Cancel { call, attempt });
-        }
-    }
-
     // ---- The list of servers -------------------------------------------------------------------------
-    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
+    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
             self.subscribed = false;
             return;
@@ -964,11 +877,11 @@
                     *s = Server::new(entry.clone(), now, credit);
                     (s.free, s.waiting, s.usual, s.usual_ticks) = (free, waiting, usual, USUAL_TICKS);
                     s.cold = Some((since, since.plus(cold_time)));
-                    actions.push(Action::Log(format!("server {} starts cold", id.0)));
+                    self.actions.push(Action::Log(format!("server {} starts cold", id.0)));
                 }
             }
             if s.entry.state != entry.state && entry.state != ServerState::Ready {
-                actions.push(Action::Log(format!("server {} drains or is gone", id.0)));
+                self.actions.push(Action::Log(format!("server {} drains or is gone", id.0)));
             }
             s.entry = entry;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,15 +37,15 @@
 }
 
 /// A call, as the gateway numbers it. Ids are never used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
 
 /// A core server. It keeps its id over a restart; a machine that replaces it has another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// A pool or exchange number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Cell(pub u32);
 
 /// The place of a class in [`Settings::classes`].
@@ -80,9 +80,10 @@
 }
 
 /// What a second run of the same call would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Nothing: it can be repeated and refused at will.
+    #[default]
     Safe,
     /// Nothing, within the group of servers and the time in which repeats are recognised.
     Keyed {
@@ -260,9 +261,10 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     /// Takes calls.
+    #[default]
     Ready,
     /// Finishes its work.
     Draining,
@@ -271,7 +273,7 @@
 }
 
 /// A line of the list of servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerEntry {
     /// The server.
     pub id: ServerId,
@@ -299,7 +301,7 @@
 }
 
 /// A call handed to this gateway.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct NewCall {
     /// The call.
     pub id: CallId,
