Lines paced at 4 times the free ones told; draws a tick in proportion to the own usual rate

Cause: the pace of lines was below what callers release, and small fleets had lost the draws that drain their held calls.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,7 +60,7 @@
 /// A server whose lines were all taken is tried again after this time without news of a free one. Ours.
 const FREE_MEMORY: Duration = Duration::from_secs(2);
 /// Times the free lines told that all gateways together may take in a second.
-const LINES_PACE: f64 = 2.0;
+const LINES_PACE: f64 = 4.0;
 /// Shortest pause between trials of a suspected server, and the longest told wait that is kept to.
 const TRIAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
 /// Trials as a share of the usual set-ups: from all gateways together too few to keep a server jammed.
@@ -71,6 +71,8 @@
 const RATE_SPAN: Duration = Duration::from_secs(2);
 /// No set-ups to a number for this long after its lines were all busy. Ours.
 const BUSY_PAUSE: Duration = Duration::from_secs(2);
+/// Draws a tick for the calls held, beside one: this many seconds' worth of the usual set-ups at a server.
+const DRAWS_S: f64 = 2.0;
 /// Held calls looked through for one that a server is open to.
 const LOOK_THROUGH: usize = 8;
 /// How long a number is remembered after its last call.
@@ -209,11 +211,7 @@
     /// overtaken does not: its answer is lost. Guards against lost messages holding up sends and readings.
     /// It could do harm at servers that do not work in order, as sends are then held back less.
     fn in_line(&self) -> impl Iterator<Item = &(Time, CallId)> {
-        self.waiting.iter().filter(|(sent, _)| !self.overtaken(*sent))
-    }
-
-    fn overtaken(&self, sent: Time) -> bool {
-        sent.plus(OVERTAKE) < self.answered_up_to
+        self.waiting.iter().filter(|(sent, _)| sent.plus(OVERTAKE) >= self.answered_up_to)
     }
 
     /// Set-ups a second that stood lately.
@@ -292,9 +290,8 @@
         oldest < far && (self.in_line().count() as f64) < most
     }
 
-    /// Sends one trial at a time, at growing pauses, until a set-up stands. Guards against hangs and dead
-    /// machines that the list still names, and against a processor so full that it turns set-ups away, which
-    /// costs it work. Could do harm where single answers get lost: the next call that stands ends it.
+    /// Leaves a server to single trials at a pace, until a set-up stands. Guards against hangs, dead machines that
+    /// the list still names and jams, whose refusals cost work. Could do harm where single answers get lost.
     fn miss(&mut self, now: Time, count: u32, out: &mut Vec<Action>) {
         self.misses += count;
         if self.misses < MISSES {
@@ -804,7 +801,9 @@
         }
         self.numbers.retain(|_, log| now.since(log.last) < NUMBER_MEMORY);
         self.tell_news();
-        self.offer_held(now);
+        for _ in 0..1 + (self.usual_rate() * DRAWS_S) as u32 {
+            self.offer_held(now);
+        }
     }
 
     /// Tells a few other gateways, drawn anew each time, what delays were seen here. Among hundreds of them
