--- a/src/brain.rs
+++ b/src/brain.rs
@@ -290,8 +290,8 @@
         oldest < far && (self.in_line().count() as f64) < most
     }
 
-    /// Leaves a server to single trials at a pace, until a set-up stands. Guards against hangs, dead machines that
-    /// the list still names and jams, whose refusals cost work. Could do harm where single answers get lost.
+    /// Leaves a server to single trials at a pace, until a set-up stands. Guards against hangs, dead machines
+    /// that the list still names, and jams, whose refusals cost work. Could do harm where answers get lost.
     fn miss(&mut self, now: Time, count: u32, out: &mut Vec<Action>) {
         self.misses += count;
         if self.misses < MISSES {
