--- a/src/brain.rs
+++ b/src/brain.rs
@@ -72,7 +72,7 @@
 /// No set-ups to a number for this long after its lines were all busy. Ours.
 const BUSY_PAUSE: Duration = Duration::from_secs(2);
 /// Draws a tick for the calls held, beside one: this many seconds' worth of the usual set-ups at a server.
-const DRAWS_S: f64 = 2.0;
+const DRAWS_S: f64 = 4.0;
 /// Held calls looked through for one that a server is open to.
 const LOOK_THROUGH: usize = 8;
 /// How long a number is remembered after its last call.
