One type for samples and their mean; dead pieces gone; same actions as before

Sums and counts stood as pairs in four places and as a list in usual_rate: Samples serves all. The fleet's rate is worked out for a list entry only where no predecessor's is known. answer_rate had one user left; the tests' branches for cancelling had none since attempts are no longer called off, and the symptom test drives its gateway by serve() like the others. Two comments said less than the code does.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,7 +55,7 @@
 const TRIAL_CUT: f64 = 0.5;
 /// A set-up answered though sent this much later than another shows that the other's answer is lost.
 const OVERTAKE: Duration = Duration::from_millis(100);
-/// So many set-ups in a row without an answer make a server suspect.
+/// So many set-ups in a row that nobody answered, or that found its processor full, make a server suspect.
 const MISSES: u32 = 2;
 /// A server whose lines were all taken is tried again after this time without news of a free one. Ours.
 const FREE_MEMORY: Duration = Duration::from_secs(2);
@@ -165,17 +165,35 @@
 }
 
 // ---- A server's health -------------------------------------------------------------------------------
+/// Samples of one kind, for their mean.
+#[derive(Clone, Copy, Debug, Default)]
+struct Samples {
+    sum: f64,
+    n: u32,
+}
+
+impl Samples {
+    fn add(&mut self, sample: f64) {
+        self.sum += sample;
+        self.n += 1;
+    }
+
+    fn mean(self) -> Option<f64> {
+        (self.n > 0).then(|| self.sum / f64::from(self.n))
+    }
+}
+
 #[derive(Debug, Default)]
 struct Server {
     entry: ServerEntry,
     throttle: Throttle,
     floor: Option<f64>,
     samples: u32,
-    tick_delays: (f64, u32),
+    tick_delays: Samples,
     /// Own samples of the delay since the last message to other gateways.
-    news: (f64, u32),
+    news: Samples,
     /// Samples told by other gateways in this tick.
-    told_delays: (f64, u32),
+    told_delays: Samples,
     /// Ticks since the last own sample.
     unsampled: usize,
     tick_full: bool,
@@ -186,7 +204,7 @@
     answered_up_to: Time,
     misses: u32,
     waiting: BTreeSet<(Time, CallId)>,
-    /// No trial before this time.
+    /// Nothing is sent there before this time: after a full answer, and between trials.
     not_before: Time,
     suspect: bool,
     /// Since when, and until when, its processor is taken for cold.
@@ -214,15 +232,9 @@
         self.waiting.iter().filter(|(sent, _)| sent.plus(OVERTAKE) >= self.answered_up_to)
     }
 
-    /// Set-ups a second that stood lately.
-    fn answer_rate(&self) -> f64 {
-        self.answered.len() as f64 / RATE_SPAN.as_secs_f64()
-    }
-
     /// The set-up delay seen, as a reading of occupancy: 1 - smallest / mean.
     fn note_delay(&mut self, delay: f64) {
-        self.tick_delays.0 += delay;
-        self.tick_delays.1 += 1;
+        self.tick_delays.add(delay);
         self.samples += 1;
         self.floor = Some(self.floor.map_or(delay, |x| x.min(delay)).max(1e-4));
     }
@@ -231,22 +243,16 @@
     /// exceeds the usual delay counts as one, so a hang shows within a second. It answers for stalls and
     /// slow servers too; it could do harm where single answers are lost, which f then forgives in k ticks.
     fn tick(&mut self, now: Time, floor: Option<f64>, aim: f64, f_min: f64) {
-        let (mut sum, mut n) = self.tick_delays;
+        let mut delays = std::mem::take(&mut self.tick_delays);
         let usual = self.mean_delay.unwrap_or(0.0).max(2.0 * floor.unwrap_or(0.0));
-        for (sent, _) in self.in_line() {
-            let age = now.since(*sent).as_secs_f64();
-            if age > usual {
-                sum += age;
-                n += 1;
-            }
-        }
-        self.news = (self.news.0 + sum, self.news.1 + n);
+        let ages = self.in_line().map(|(sent, _)| now.since(*sent).as_secs_f64());
+        ages.filter(|age| *age > usual).for_each(|age| delays.add(age));
+        self.news.sum += delays.sum;
+        self.news.n += delays.n;
         // News fills the gaps between own samples: where those are enough, late ones would only overdo it.
-        self.unsampled = if n > 0 { 0 } else { self.unsampled + 1 };
-        if self.unsampled >= K_SHORT {
-            (sum, n) = self.told_delays;
-        }
-        let mean = (n > 0).then(|| sum / f64::from(n));
+        self.unsampled = if delays.n > 0 { 0 } else { self.unsampled + 1 };
+        let told = std::mem::take(&mut self.told_delays);
+        let mean = if self.unsampled >= K_SHORT { told.mean() } else { delays.mean() };
         let by_floor = mean.zip(floor).map(|(m, f)| (1.0 - f / m).clamp(0.0, 1.0));
         // A far wait beyond its share of the aim is too long at any smallest delay.
         let by_aim = mean.map(|m| (RHO_TARGET * m / (aim * AIM_SHARE)).min(1.0));
@@ -260,8 +266,6 @@
         self.slow_reading += 0.1 * (reading.unwrap_or(0.0) - self.slow_reading);
         let unread = (self.usual * TICK.as_secs_f64() / UNREAD_SETUPS).clamp(UNREAD_LEAST, 1.0);
         self.throttle.assess(reading, f_min, unread);
-        self.tick_delays = (0.0, 0);
-        self.told_delays = (0.0, 0);
         self.tick_full = false;
         self.utilisation = None;
         self.floor = self.floor.map(|x| x * (1.0 + FLOOR_AGEING * TICK.as_secs_f64()));
@@ -283,7 +287,7 @@
     /// the network alone takes that long; then one set-up at a time still goes.
     fn has_room(&self, now: Time, aim: Duration) -> bool {
         let far = aim.mul_f64(FAR_SHARE);
-        let rate = self.answer_rate();
+        let rate = self.answered.len() as f64 / RATE_SPAN.as_secs_f64();
         let quick = self.mean_delay.is_some_and(|d| d < far.as_secs_f64());
         let most = (rate * far.as_secs_f64() * 2.0).max(if quick { 2.0 } else { 1.0 });
         let oldest = self.in_line().next().map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
@@ -311,18 +315,18 @@
     /// Could do harm where this gateway's calls grow fast: the server is then used too little.
     fn pace(&self, now: Time, settings: &Settings) -> Option<f64> {
         let (rules, gateways) = (&settings.rules, f64::from(settings.gateways));
-        let usual = self.usual.max(LEAST_PACE / gateways);
+        let least = LEAST_PACE / gateways;
         let cold = self.cold.filter(|(_, until)| now < *until).map(|(since, _)| {
             let done = now.since(since).as_secs_f64() / rules.cold_time.as_secs_f64().max(1e-3);
             let part = rules.cold_from + (1.0 - rules.cold_from) * COLD_RAMP * done.min(1.0);
-            (rules.fall_multiple * COLD_SHARE).min(COLD_MOST) * part * usual
+            (rules.fall_multiple * COLD_SHARE).min(COLD_MOST) * part * self.usual.max(least)
         });
         let shared = self.free.filter(|(free, _)| *free < gateways && settings.topology == Topology::Pools);
         let lines = shared.map(|(free, told)| {
-            let least = if now.since(told) > FREE_MEMORY { 1.0 } else { 0.0 };
-            LINES_PACE * free.max(least) / gateways
+            let assumed = if now.since(told) > FREE_MEMORY { 1.0 } else { 0.0 };
+            LINES_PACE * free.max(assumed) / gateways
         });
-        let trials = self.suspect.then(|| (TRIAL_PACE * usual).max(LEAST_PACE / gateways));
+        let trials = self.suspect.then(|| (TRIAL_PACE * self.usual).max(least));
         cold.into_iter().chain(lines).chain(trials).reduce(f64::min)
     }
 
@@ -577,8 +581,7 @@
             s.utilisation = report.utilisation.or(s.utilisation);
             // A told wait is one more sample of the set-up delay.
             if let (Some(wait), Some(floor)) = (report.wait, s.floor) {
-                s.tick_delays.0 += floor + wait.as_secs_f64();
-                s.tick_delays.1 += 1;
+                s.tick_delays.add(floor + wait.as_secs_f64());
             }
         }
         let Some(c) = self.calls.get_mut(&call).filter(|c| c.out == Some(attempt)) else { return };
@@ -730,8 +733,9 @@
 
     /// Own set-ups a second that stand at a server, in the long mean over all that were warm.
     fn usual_rate(&self) -> f64 {
-        let rates: Vec<f64> = self.servers.values().filter(|s| s.usual_ticks > 0).map(|s| s.usual).collect();
-        rates.iter().sum::<f64>() / rates.len().max(1) as f64
+        let mut rates = Samples::default();
+        self.servers.values().filter(|s| s.usual_ticks > 0).for_each(|s| rates.add(s.usual));
+        rates.mean().unwrap_or(0.0)
     }
 
     fn issue(&mut self, now: Time, id: CallId, server: ServerId) {
@@ -816,9 +820,9 @@
         }
         let mut text = String::from("1");
         for (id, s) in &mut self.servers {
-            let (sum, n) = std::mem::take(&mut s.news);
-            if n > 0 && text.len() < 230 {
-                text += &format!(" {}:{:.0}", id.0, 1e3 * sum / f64::from(n));
+            let news = std::mem::take(&mut s.news);
+            if news.n > 0 && text.len() < 230 {
+                text += &format!(" {}:{:.0}", id.0, 1e3 * news.sum / f64::from(news.n));
             }
         }
         for _ in 0..NEWS.1.min(gateways - 1) {
@@ -837,8 +841,7 @@
         for (id, ms) in lines.split(' ').filter_map(|line| line.split_once(':')) {
             let (Ok(id), Ok(ms)) = (id.parse().map(ServerId), ms.parse::<u32>()) else { continue };
             if let Some(s) = self.servers.get_mut(&id).filter(|_| ms <= NEWS_MOST) {
-                s.told_delays.0 += f64::from(ms) / 1e3;
-                s.told_delays.1 += 1;
+                s.told_delays.add(f64::from(ms) / 1e3);
             }
         }
     }
@@ -861,9 +864,9 @@
         for entry in entries {
             let id = entry.id;
             // A machine that replaces another in its pool is taken to be of its size.
-            let (fleet, credit) = (self.usual_rate(), self.unit());
+            let credit = self.unit();
             let same = self.servers.values().filter(|s| s.entry.cell == entry.cell && s.usual_ticks > 0);
-            let usual = same.map(|s| s.usual).reduce(f64::max).unwrap_or(fleet);
+            let usual = same.map(|s| s.usual).reduce(f64::max).unwrap_or_else(|| self.usual_rate());
             let fresh = !self.servers.contains_key(&id);
             let s = self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now, credit));
             let restarted = s.entry.up_since != entry.up_since && entry.up_since.is_some();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -170,20 +170,13 @@
                     work.extend(self.stands(call, attempt, server, ms(took)));
                 }
                 for action in std::mem::take(&mut work) {
-                    match action {
-                        Action::Issue { call, server, .. } => {
-                            let attempt = attempts.entry(call.0).or_insert(0);
-                            if let Some(took) = answer(server.0) {
-                                due.push((self.now.plus(ms(took)), call.0, *attempt, server.0, took));
-                            }
-                            *attempt += 1;
-                            sent.push(server.0);
+                    if let Action::Issue { call, server, .. } = action {
+                        let attempt = attempts.entry(call.0).or_insert(0);
+                        if let Some(took) = answer(server.0) {
+                            due.push((self.now.plus(ms(took)), call.0, *attempt, server.0, took));
                         }
-                        Action::Cancel { call, attempt } => {
-                            let server = *sent.last().unwrap();
-                            work.extend(self.closes(call.0, attempt.0, server, Outcome::Cancelled));
-                        }
-                        _ => {}
+                        *attempt += 1;
+                        sent.push(server.0);
                     }
                 }
             }
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -11,32 +11,11 @@
     hits as f64 / count as f64
 }
 
-/// Lets `count` calls for first choice 0 come at 100 ms; server 71 answers, 70 does not.
+/// Calls for first choice 0 come every 100 ms; server 71 answers, 70 does not. Counts what went to each.
 fn silence(g: &mut Gateway, ids: std::ops::Range<u64>) -> (usize, usize) {
-    let (mut to_70, mut to_71, mut open) = (0, 0, Vec::new());
-    for id in ids {
-        let mut done = g.tell(Event::Call(call(id, 0, 0)));
-        done.extend(g.pass(ms(100)).into_iter().map(|(_, a)| a));
-        for action in &done {
-            match action {
-                Action::Issue { server: ServerId(70), .. } => to_70 += 1,
-                Action::Issue { call, server, .. } => {
-                    to_71 += 1;
-                    open.push((call.0, server.0));
-                }
-                Action::Cancel { call, attempt } => {
-                    g.closes(call.0, attempt.0, 70, Outcome::Cancelled);
-                }
-                _ => {}
-            }
-        }
-        for (call, server) in open.drain(..) {
-            // It may be a first or a second attempt; the wrong number changes nothing.
-            g.stands(call, 0, server, ms(50));
-            g.stands(call, 1, server, ms(50));
-        }
-    }
-    (to_70, to_71)
+    let sent = g.serve(ids, 0, 100, |server| (server == 71).then_some(50));
+    let to_70 = sent.iter().filter(|s| **s == 70).count();
+    (to_70, sent.len() - to_70)
 }
 
 #[test]
