SIP and WebSocket codecs without I/O, with torture tables and cuts at every byte

Need: the gateway speaks SIP over WebSocket (RFC 7118) to callers and SIP over TCP to switches.

Two packages: fawnrouter-sip (messages, stream framing, URIs with trunk groups, transactions over reliable transports, dialogs) and fawnrouter-ws (HTTP/1.1 heads, opening handshake, frames). Every length and count has a limit.

--- /dev/null
+++ b/crates/fawnrouter-sip/src/lib.rs
@@ -0,0 +1,21 @@
+#![forbid(unsafe_code)]
+//! SIP without I/O: messages (RFC 3261 §7, §25), their framing on a stream (§18.3), URIs (§19.1, RFC 3966,
+//! RFC 4904), transactions over reliable transports (§17, RFC 6026) and dialogs (§12).
+//!
+//! Bytes go in and typed messages come out; every length and count has a limit in [`Limits`]. Nothing here reads
+//! a clock: what expires is told by the caller.
+
+mod dialog;
+mod message;
+mod stream;
+pub mod transaction;
+mod uri;
+mod value;
+mod write;
+
+pub use dialog::Dialog;
+pub use message::{Field, Invalid, Limits, Message, Method, Name, ParseError, Start};
+pub use stream::{Chunk, StreamDecoder};
+pub use uri::{TrunkGroup, Uri, UriError, unescape};
+pub use value::{Address, CSeq, Params, Reason, ValueError, Via, first_value, split_values};
+pub use write::{Draft, reason_phrase};
--- /dev/null
+++ b/crates/fawnrouter-sip/src/message.rs
@@ -0,0 +1,489 @@
+//! A parsed message: the start line, the fields in their order, and the body (RFC 3261 §7).
+
+use std::fmt;
+use std::ops::Range;
+
+use crate::value::{self, CSeq, Via};
+
+/// What a parser accepts. A message beyond a limit is refused as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of the start line and all fields.
+    pub head: usize,
+    /// Number of fields.
+    pub fields: usize,
+    /// Bytes of the body.
+    pub body: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { head: 16 * 1024, fields: 128, body: 64 * 1024 }
+    }
+}
+
+/// Why bytes are no SIP message. The reason names the place.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum ParseError {
+    /// The head does not end, or ends in the middle of a line.
+    #[error("the message has no empty line after its fields")]
+    NoEndOfHead,
+    /// The head is not UTF-8 (RFC 3261 §7).
+    #[error("byte {0} of the head is not UTF-8")]
+    NotUtf8(usize),
+    /// The first line is neither a request line nor a status line.
+    #[error("the start line is neither a request line nor a status line")]
+    StartLine,
+    /// A field without a colon, with an empty name, or with a character that names may not hold.
+    #[error("line {0} is no header field")]
+    Field(usize),
+    /// A control character where none may stand.
+    #[error("line {0} holds a control character")]
+    Control(usize),
+    /// Beyond a limit.
+    #[error("{what} is over the limit of {limit}")]
+    TooLarge {
+        /// What is too large.
+        what: &'static str,
+        /// The limit.
+        limit: usize,
+    },
+    /// On a stream: no Content-Length, or one that is no number (RFC 3261 §18.3).
+    #[error("the Content-Length is missing, repeated or no number")]
+    ContentLength,
+}
+
+/// What a well-formed request lacks, with the status to answer it with (RFC 3261 §8.2).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Invalid {
+    /// The status.
+    pub status: u16,
+    /// Which part is wrong, to stand in the reason phrase.
+    pub what: &'static str,
+}
+
+/// Methods that the gateway knows; others keep their text in the message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[allow(missing_docs)]
+pub enum Method {
+    Invite,
+    Ack,
+    Cancel,
+    Bye,
+    Options,
+    Register,
+    Other,
+}
+
+impl Method {
+    /// The method of this name; methods are case-sensitive (RFC 3261 §7.1).
+    #[must_use]
+    pub fn of(text: &str) -> Self {
+        match text {
+            "INVITE" => Self::Invite,
+            "ACK" => Self::Ack,
+            "CANCEL" => Self::Cancel,
+            "BYE" => Self::Bye,
+            "OPTIONS" => Self::Options,
+            "REGISTER" => Self::Register,
+            _ => Self::Other,
+        }
+    }
+
+    /// Its name; empty for [`Method::Other`].
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Invite => "INVITE",
+            Self::Ack => "ACK",
+            Self::Cancel => "CANCEL",
+            Self::Bye => "BYE",
+            Self::Options => "OPTIONS",
+            Self::Register => "REGISTER",
+            Self::Other => "",
+        }
+    }
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $variant:ident $text:literal $($compact:literal)?),* $(,)?) => {
+        /// Header field names known here; compact forms (RFC 3261 §7.3.3) are the same names.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        #[allow(missing_docs)]
+        pub enum Name { $($variant,)* Other }
+
+        impl Name {
+            /// The name that a field line begins with, in any case and form.
+            #[must_use]
+            pub fn of(text: &str) -> Self {
+                match text.len() {
+                    1 => match text.as_bytes()[0].to_ascii_lowercase() {
+                        $($(x if x == $compact => Self::$variant,)?)*
+                        _ => Self::Other,
+                    },
+                    $(n if n == $text.len() && text.eq_ignore_ascii_case($text) => Self::$variant,)*
+                    _ => Self::Other,
+                }
+            }
+
+            /// As it is written; empty for [`Name::Other`].
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$variant => $text,)* Self::Other => "" }
+            }
+        }
+    };
+}
+
+names! {
+    Via "Via" b'v', From "From" b'f', To "To" b't', CallId "Call-ID" b'i', CSeq "CSeq", Contact "Contact" b'm',
+    MaxForwards "Max-Forwards", ContentLength "Content-Length" b'l', ContentType "Content-Type" b'c',
+    Route "Route", RecordRoute "Record-Route", Expires "Expires", Supported "Supported" b'k', Require "Require",
+    ProxyRequire "Proxy-Require", Allow "Allow", Unsupported "Unsupported", RetryAfter "Retry-After",
+    Reason "Reason", SessionId "Session-ID", Subject "Subject" b's', ContentEncoding "Content-Encoding" b'e',
+    UserAgent "User-Agent", Server "Server", Accept "Accept", Warning "Warning", Priority "Priority",
+    ResourcePriority "Resource-Priority",
+}
+
+/// One field of a message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Field {
+    /// Its name.
+    pub name: Name,
+    raw_name: (u32, u32),
+    value: (u32, u32),
+}
+
+/// The first line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start<'a> {
+    /// A request.
+    Request {
+        /// Its method.
+        method: Method,
+        /// The method's text.
+        name: &'a str,
+        /// The request-URI.
+        uri: &'a str,
+        /// The protocol's version as told.
+        version: &'a str,
+    },
+    /// A response.
+    Response {
+        /// Its status, 100 to 699.
+        status: u16,
+        /// Its phrase.
+        phrase: &'a str,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum StartPlaces {
+    Request { method: Method, name: Range<usize>, uri: Range<usize>, version: Range<usize> },
+    Response { status: u16, phrase: Range<usize> },
+}
+
+/// A message, with its text kept as it came (folded lines are joined by spaces).
+#[derive(Clone, PartialEq, Eq)]
+pub struct Message {
+    head: String,
+    start: StartPlaces,
+    fields: Vec<Field>,
+    body: Vec<u8>,
+}
+
+impl fmt::Debug for Message {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}[{} bytes]", self.head, self.body.len())
+    }
+}
+
+/// Where the head ends: the place after the empty line. Bare LF line ends are not accepted.
+pub(crate) fn head_end(bytes: &[u8], from: usize) -> Option<usize> {
+    memchr::memmem::find(bytes.get(from..)?, b"\r\n\r\n").map(|at| from + at + 4)
+}
+
+impl Message {
+    /// Parses a whole message, as a datagram or a WebSocket message holds it (RFC 7118 §5): the body is as long
+    /// as Content-Length says, or else reaches to the end; bytes beyond it are dropped (RFC 3261 §18.3).
+    ///
+    /// # Errors
+    /// Where the bytes are no message within the limits; see [`ParseError`].
+    pub fn parse(bytes: &[u8], limits: &Limits) -> Result<Self, ParseError> {
+        // Empty lines before the start line are dropped (RFC 3261 §7.5).
+        let lead = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        let bytes = &bytes[lead..];
+        let end = head_end(bytes, 0).ok_or(ParseError::NoEndOfHead)?;
+        let mut message = Self::parse_head(&bytes[..end], limits)?;
+        let body = &bytes[end..];
+        let length = match message.content_length() {
+            Ok(Some(length)) if length <= body.len() => length,
+            _ => body.len(),
+        };
+        if length > limits.body {
+            return Err(ParseError::TooLarge { what: "the body", limit: limits.body });
+        }
+        // A body shorter than promised is kept; `validate` answers it.
+        message.body = body[..length].to_vec();
+        Ok(message)
+    }
+
+    /// Parses the start line and the fields up to and with the empty line; the body is empty.
+    ///
+    /// # Errors
+    /// See [`ParseError`].
+    pub fn parse_head(bytes: &[u8], limits: &Limits) -> Result<Self, ParseError> {
+        if bytes.len() > limits.head {
+            return Err(ParseError::TooLarge { what: "the head", limit: limits.head });
+        }
+        let mut head =
+            std::str::from_utf8(bytes).map_err(|e| ParseError::NotUtf8(e.valid_up_to()))?.to_owned();
+        // A line that begins with white space continues the one before (§7.3.1): joined in place by spaces.
+        if memchr::memmem::find_iter(bytes, b"\r\n").any(|at| matches!(bytes.get(at + 2), Some(b' ' | b'\t')))
+        {
+            head = head.replace("\r\n ", "   ").replace("\r\n\t", "   ");
+        }
+        let mut lines = memchr::memmem::find_iter(head.as_bytes(), b"\r\n");
+        let first = lines.next().ok_or(ParseError::NoEndOfHead)?;
+        let start = parse_start(&head[..first]).ok_or(ParseError::StartLine)?;
+        let mut fields = Vec::with_capacity(16);
+        let mut begin = first + 2;
+        for (number, end) in lines.enumerate() {
+            if end == begin {
+                break;
+            }
+            let line = &head.as_bytes()[begin..end];
+            let colon = memchr::memchr(b':', line).ok_or(ParseError::Field(number + 2))?;
+            let raw = head[begin..begin + colon].trim_end_matches([' ', '\t']);
+            if raw.is_empty() || !raw.bytes().all(value::is_token) {
+                return Err(ParseError::Field(number + 2));
+            }
+            if memchr::memchr3(b'\r', b'\n', 0, &line[colon..]).is_some() {
+                return Err(ParseError::Control(number + 2));
+            }
+            let text = &head[begin + colon + 1..end];
+            let lead = text.len() - text.trim_start_matches([' ', '\t']).len();
+            let text = text.trim_matches([' ', '\t']);
+            if fields.len() >= limits.fields {
+                return Err(ParseError::TooLarge { what: "the number of fields", limit: limits.fields });
+            }
+            let value = place(begin + colon + 1 + lead, text.len());
+            fields.push(Field { name: Name::of(raw), raw_name: place(begin, raw.len()), value });
+            begin = end + 2;
+        }
+        Ok(Self { head, start, fields, body: Vec::new() })
+    }
+
+    pub(crate) fn set_body(&mut self, body: Vec<u8>) {
+        self.body = body;
+    }
+
+    /// The start line.
+    #[must_use]
+    pub fn start(&self) -> Start<'_> {
+        match &self.start {
+            StartPlaces::Request { method, name, uri, version } => Start::Request {
+                method: *method,
+                name: &self.head[name.clone()],
+                uri: &self.head[uri.clone()],
+                version: &self.head[version.clone()],
+            },
+            StartPlaces::Response { status, phrase } => {
+                Start::Response { status: *status, phrase: &self.head[phrase.clone()] }
+            }
+        }
+    }
+
+    /// The status of a response.
+    #[must_use]
+    pub fn status(&self) -> Option<u16> {
+        match self.start {
+            StartPlaces::Response { status, .. } => Some(status),
+            StartPlaces::Request { .. } => None,
+        }
+    }
+
+    /// The method of a request.
+    #[must_use]
+    pub fn method(&self) -> Option<Method> {
+        match self.start {
+            StartPlaces::Request { method, .. } => Some(method),
+            StartPlaces::Response { .. } => None,
+        }
+    }
+
+    /// The fields with their names as written and their values, in order.
+    pub fn fields(&self) -> impl Iterator<Item = (Name, &str, &str)> {
+        self.fields.iter().map(|f| (f.name, self.cut(f.raw_name), self.cut(f.value)))
+    }
+
+    /// The value of the first field of this name.
+    #[must_use]
+    pub fn get(&self, name: Name) -> Option<&str> {
+        self.fields.iter().find(|f| f.name == name).map(|f| self.cut(f.value))
+    }
+
+    /// The value of the first field with this name in any case, known here or not.
+    #[must_use]
+    pub fn get_named(&self, name: &str) -> Option<&str> {
+        self.fields().find(|(_, raw, _)| raw.eq_ignore_ascii_case(name)).map(|(_, _, value)| value)
+    }
+
+    /// All values of this name: of every field, and of every part between commas (§7.3.1).
+    pub fn values(&self, name: Name) -> impl Iterator<Item = &str> {
+        let fields = self.fields.iter().filter(move |f| f.name == name);
+        fields.flat_map(|f| value::split_values(self.cut(f.value)))
+    }
+
+    /// The body.
+    #[must_use]
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
+    /// The body's length as told.
+    ///
+    /// # Errors
+    /// Where it is no number, or two fields differ.
+    pub fn content_length(&self) -> Result<Option<usize>, ParseError> {
+        let mut found = None;
+        for field in self.fields.iter().filter(|f| f.name == Name::ContentLength) {
+            let text = self.cut(field.value);
+            let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+            let length = text.parse::<usize>().ok().filter(|_| digits).ok_or(ParseError::ContentLength)?;
+            if found.is_some_and(|other| other != length) {
+                return Err(ParseError::ContentLength);
+            }
+            found = Some(length);
+        }
+        Ok(found)
+    }
+
+    /// The top Via.
+    ///
+    /// # Errors
+    /// Where there is none or it cannot be read.
+    pub fn via(&self) -> Result<Via<'_>, value::ValueError> {
+        Via::parse(self.values(Name::Via).next().unwrap_or(""))
+    }
+
+    /// The CSeq.
+    ///
+    /// # Errors
+    /// Where there is none or it cannot be read.
+    pub fn cseq(&self) -> Result<CSeq<'_>, value::ValueError> {
+        CSeq::parse(self.get(Name::CSeq).unwrap_or(""))
+    }
+
+    /// Tells whether a request can be worked on: the six fields of §8.1.1, each once and readable, the version,
+    /// and a body as long as promised.
+    ///
+    /// # Errors
+    /// The status to answer with, and what is wrong.
+    pub fn validate(&self) -> Result<(), Invalid> {
+        let bad = |what| Err(Invalid { status: 400, what });
+        let Start::Request { name, uri, version, .. } = self.start() else {
+            return bad("Start Line");
+        };
+        if !version.eq_ignore_ascii_case("SIP/2.0") {
+            return Err(Invalid { status: 505, what: "Version" });
+        }
+        let once = |wanted| self.fields.iter().filter(|f| f.name == wanted).count() == 1;
+        for (name, what) in [
+            (Name::From, "From"),
+            (Name::To, "To"),
+            (Name::CallId, "Call-ID"),
+            (Name::CSeq, "CSeq"),
+            (Name::MaxForwards, "Max-Forwards"),
+        ] {
+            // Max-Forwards is missing from requests of old clients (RFC 2543); it then counts as 70.
+            let present = once(name) || (name == Name::MaxForwards && self.get(name).is_none());
+            if !present {
+                return bad(what);
+            }
+        }
+        let Ok(cseq) = self.cseq() else { return bad("CSeq") };
+        if cseq.method != name {
+            return bad("CSeq Method");
+        }
+        if self.values(Name::Via).any(|v| Via::parse(v).is_err()) || self.via().is_err() {
+            return bad("Via");
+        }
+        for (name, what) in [(Name::From, "From"), (Name::To, "To")] {
+            if value::Address::parse(self.get(name).unwrap_or("")).is_err() {
+                return bad(what);
+            }
+        }
+        if self.get(Name::CallId).is_none_or(|id| id.is_empty() || id.contains([' ', '\t'])) {
+            return bad("Call-ID");
+        }
+        if self.get(Name::MaxForwards).is_some_and(|m| m.parse::<u8>().is_err()) {
+            return bad("Max-Forwards");
+        }
+        if uri.starts_with('<') || uri.is_empty() {
+            return bad("Request-URI");
+        }
+        for (name, what) in
+            [(Name::Contact, "Contact"), (Name::Route, "Route"), (Name::RecordRoute, "Record-Route")]
+        {
+            if self.values(name).any(|v| v != "*" && value::Address::parse(v).is_err()) {
+                return bad(what);
+            }
+        }
+        let expires = self.get(Name::Expires).is_some_and(|x| x.trim().parse::<u64>().is_err());
+        if expires {
+            return bad("Expires");
+        }
+        match self.content_length() {
+            Err(_) => bad("Content-Length"),
+            Ok(Some(n)) if n > self.body.len() => bad("Content-Length"),
+            _ => Ok(()),
+        }
+    }
+
+    fn cut(&self, (start, len): (u32, u32)) -> &str {
+        &self.head[start as usize..(start + len) as usize]
+    }
+}
+
+fn place(start: usize, len: usize) -> (u32, u32) {
+    // Heads are far below 4 GiB: `Limits::head` is checked first, and is itself clipped by the settings' schema.
+    (u32::try_from(start).unwrap_or(u32::MAX), u32::try_from(len).unwrap_or(0))
+}
+
+fn parse_start(line: &str) -> Option<StartPlaces> {
+    if line.bytes().any(|b| b < 0x20 || b == 0x7f) {
+        return None;
+    }
+    let version_len = "SIP/2.0".len();
+    if line.get(..4).is_some_and(|v| v.eq_ignore_ascii_case("SIP/")) {
+        let (version, rest) = line.split_at_checked(version_len)?;
+        let rest = rest.strip_prefix(' ').filter(|_| version.eq_ignore_ascii_case("SIP/2.0"))?;
+        let code = rest.get(..3).filter(|c| c.bytes().all(|b| b.is_ascii_digit()))?;
+        let status = code.parse().ok().filter(|s| (100..700).contains(s))?;
+        let phrase = match rest.as_bytes().get(3) {
+            None => line.len()..line.len(),
+            Some(b' ') => version_len + 5..line.len(),
+            Some(_) => return None,
+        };
+        return Some(StartPlaces::Response { status, phrase });
+    }
+    // One space between the parts, none inside them (§7.1).
+    let first = line.find(' ')?;
+    let last = line.rfind(' ')?;
+    let name = &line[..first];
+    let uri = line.get(first + 1..last)?;
+    let version = &line[last + 1..];
+    let sound = !name.is_empty()
+        && name.bytes().all(value::is_token)
+        && !uri.is_empty()
+        && !uri.contains([' ', '\t'])
+        && version.get(..4).is_some_and(|v| v.eq_ignore_ascii_case("SIP/"));
+    sound.then(|| StartPlaces::Request {
+        method: Method::of(name),
+        name: 0..first,
+        uri: first + 1..last,
+        version: last + 1..line.len(),
+    })
+}
--- /dev/null
+++ b/crates/fawnrouter-ws/src/handshake.rs
@@ -0,0 +1,219 @@
+//! The opening handshake (RFC 6455 §4) with the sub-protocol that RFC 7118 §4 asks for.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use sha1::{Digest, Sha1};
+
+use crate::http::{self, Head, HttpError, HttpLimits, RequestLine};
+
+const GUID: &[u8] = b"258EAFA5-E914-47DA-95CA-C5AB0DC85B11";
+
+/// Which pages may open a connection (§10.2). Programs that are no browser send no Origin.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Origins {
+    /// Any, and none.
+    #[default]
+    Any,
+    /// These, compared without case, and none.
+    Listed(Vec<String>),
+}
+
+/// What a server agrees to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// Limits on the request's head.
+    pub limits: HttpLimits,
+    /// Sub-protocols that it speaks; one must be offered, the client's order counts.
+    pub protocols: Vec<String>,
+    /// Which origins it lets in.
+    pub origins: Origins,
+    /// Paths that it serves; empty: any.
+    pub paths: Vec<String>,
+}
+
+/// Why a handshake fails.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum HandshakeError {
+    /// It is no HTTP.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    /// A request other than an upgrade to WebSocket.
+    #[error("the request is no upgrade to WebSocket: {0}")]
+    NoUpgrade(&'static str),
+    /// Another version than 13 (§4.4).
+    #[error("the WebSocket version is not 13")]
+    Version,
+    /// No sub-protocol in common.
+    #[error("no sub-protocol in common")]
+    Protocol,
+    /// A page from elsewhere.
+    #[error("the Origin is not allowed")]
+    Origin,
+    /// No such path.
+    #[error("nothing is served at this path")]
+    Path,
+    /// The server's answer is not what the client asked for.
+    #[error("the server's answer does not fit: {0}")]
+    Answer(&'static str),
+    /// The server refused with this status.
+    #[error("the server refused with status {0}")]
+    Refused(u16),
+}
+
+impl HandshakeError {
+    /// The status that answers it.
+    #[must_use]
+    pub const fn status(&self) -> u16 {
+        match self {
+            Self::Http(e) => e.status(),
+            Self::Version | Self::NoUpgrade(_) => 426,
+            Self::Protocol => 400,
+            Self::Origin => 403,
+            Self::Path => 404,
+            Self::Answer(_) | Self::Refused(_) => 500,
+        }
+    }
+}
+
+/// An agreed upgrade.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    /// The answer to send.
+    pub response: Vec<u8>,
+    /// Bytes of the request; frames may follow them.
+    pub consumed: usize,
+    /// The sub-protocol.
+    pub protocol: String,
+}
+
+fn accept_key(key: &str) -> String {
+    let mut hash = Sha1::new();
+    hash.update(key.as_bytes());
+    hash.update(GUID);
+    STANDARD.encode(hash.finalize())
+}
+
+/// Reads a client's request (§4.2); `None` while it is not all there.
+///
+/// # Errors
+/// Why it is not agreed to; [`refuse`] writes the answer.
+pub fn accept(bytes: &[u8], terms: &Terms) -> Result<Option<Accepted>, HandshakeError> {
+    let Some(head) = http::parse_request(bytes, &terms.limits)? else { return Ok(None) };
+    let protocol = agree(&head, terms)?;
+    let key = head.get("Sec-WebSocket-Key").unwrap_or("");
+    let response = format!(
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
+         Sec-WebSocket-Accept: {}\r\nSec-WebSocket-Protocol: {protocol}\r\n\r\n",
+        accept_key(key)
+    );
+    Ok(Some(Accepted { response: response.into_bytes(), consumed: head.len, protocol }))
+}
+
+fn agree(head: &Head<'_, RequestLine<'_>>, terms: &Terms) -> Result<String, HandshakeError> {
+    if head.line.method != "GET" {
+        return Err(HandshakeError::NoUpgrade("the method is not GET"));
+    }
+    let path = head.line.target.split('?').next().unwrap_or("");
+    if !terms.paths.is_empty() && !terms.paths.iter().any(|p| p == path) {
+        return Err(HandshakeError::Path);
+    }
+    if !head.has_token("Upgrade", "websocket") || !head.has_token("Connection", "Upgrade") {
+        return Err(HandshakeError::NoUpgrade("Upgrade and Connection do not ask for it"));
+    }
+    if head.get("Sec-WebSocket-Version") != Some("13") {
+        return Err(HandshakeError::Version);
+    }
+    let keys = head.all("Sec-WebSocket-Key").collect::<Vec<_>>();
+    let sound = |key: &&str| STANDARD.decode(key).is_ok_and(|raw| raw.len() == 16);
+    if keys.len() != 1 || !keys.iter().all(sound) {
+        return Err(HandshakeError::NoUpgrade("Sec-WebSocket-Key is not 16 bytes in base64"));
+    }
+    if let (Origins::Listed(allowed), Some(origin)) = (&terms.origins, head.get("Origin"))
+        && !allowed.iter().any(|o| o.eq_ignore_ascii_case(origin))
+    {
+        return Err(HandshakeError::Origin);
+    }
+    let offered = head.all("Sec-WebSocket-Protocol").flat_map(|v| v.split(',')).map(str::trim);
+    let common = offered.into_iter().find(|o| terms.protocols.iter().any(|p| p.eq_ignore_ascii_case(o)));
+    common.map(str::to_owned).ok_or(HandshakeError::Protocol)
+}
+
+/// The answer to a request that is not agreed to. `retry_after` in seconds goes with a 503.
+#[must_use]
+pub fn refuse(status: u16, why: &str, retry_after: Option<u64>) -> Vec<u8> {
+    let phrase = match status {
+        400 => "Bad Request",
+        403 => "Forbidden",
+        404 => "Not Found",
+        426 => "Upgrade Required",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        505 => "HTTP Version Not Supported",
+        _ => "Error",
+    };
+    let retry = retry_after.map_or(String::new(), |s| format!("Retry-After: {s}\r\n"));
+    let upgrade = match status {
+        426 => "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n",
+        _ => "",
+    };
+    let connection = if status == 426 { "Upgrade, close" } else { "close" };
+    let body = format!("{why}\n");
+    format!(
+        "HTTP/1.1 {status} {phrase}\r\n{upgrade}{retry}Connection: {connection}\r\n\
+         Content-Type: text/plain; charset=utf-8\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// A client's side of the handshake.
+#[derive(Clone, Debug)]
+pub struct ClientHandshake {
+    key: String,
+    protocol: String,
+}
+
+impl ClientHandshake {
+    /// Begins one with a nonce of 16 random bytes (§4.1).
+    #[must_use]
+    pub fn new(nonce: [u8; 16], protocol: &str) -> Self {
+        Self { key: STANDARD.encode(nonce), protocol: protocol.to_owned() }
+    }
+
+    /// The request to send.
+    #[must_use]
+    pub fn request(&self, host: &str, path: &str, origin: Option<&str>) -> Vec<u8> {
+        let origin = origin.map_or(String::new(), |o| format!("Origin: {o}\r\n"));
+        format!(
+            "GET {path} HTTP/1.1\r\nHost: {host}\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
+             Sec-WebSocket-Key: {}\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Protocol: {}\r\n{origin}\r\n",
+            self.key, self.protocol
+        )
+        .into_bytes()
+    }
+
+    /// Reads the answer; `Some` with its length once it is all there and fits.
+    ///
+    /// # Errors
+    /// Where the server refuses, or its answer does not fit the request.
+    pub fn check(&self, bytes: &[u8], limits: &HttpLimits) -> Result<Option<usize>, HandshakeError> {
+        let Some(head) = http::parse_response(bytes, limits)? else { return Ok(None) };
+        if head.line.status != 101 {
+            return Err(HandshakeError::Refused(head.line.status));
+        }
+        if !head.has_token("Upgrade", "websocket") || !head.has_token("Connection", "Upgrade") {
+            return Err(HandshakeError::Answer("Upgrade"));
+        }
+        if head.get("Sec-WebSocket-Accept") != Some(accept_key(&self.key).as_str()) {
+            return Err(HandshakeError::Answer("Sec-WebSocket-Accept"));
+        }
+        if head.get("Sec-WebSocket-Extensions").is_some() {
+            return Err(HandshakeError::Answer("Sec-WebSocket-Extensions"));
+        }
+        if !head.get("Sec-WebSocket-Protocol").is_some_and(|p| p.eq_ignore_ascii_case(&self.protocol)) {
+            return Err(HandshakeError::Answer("Sec-WebSocket-Protocol"));
+        }
+        Ok(Some(head.len))
+    }
+}
