Engine: calls from callers to switches as a state machine around the decisions

Need: the controller decides on events; calls are SIP messages on connections that fail.

fawnrouter-engine is a back-to-back user agent without I/O: call table, one attempt leg at a time, the written table of statuses and outcomes, call rules, limits, reconnects with bounded pauses. fawnrouter-config reads YAML settings against a schema made from the types and names line, field and remedy.

--- /dev/null
+++ b/crates/fawnrouter-config/src/document.rs
@@ -0,0 +1,210 @@
+//! A YAML document with the line of each field, checked against a schema.
+
+use std::fmt;
+
+use jsonschema::error::ValidationErrorKind as Kind;
+use saphyr::{LoadableYamlNode, MarkedYaml, Scalar, YamlData};
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+/// One thing that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The field, as a JSON pointer (RFC 6901): `/classes/0/points`.
+    pub pointer: String,
+    /// What is wrong and what to do.
+    pub text: String,
+}
+
+impl Fault {
+    /// A fault at a field.
+    #[must_use]
+    pub fn new(pointer: impl Into<String>, text: impl Into<String>) -> Self {
+        Self { pointer: pointer.into(), text: text.into() }
+    }
+}
+
+/// All that is wrong with a file, a line each: `file:line: field: what is wrong; what to do`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    lines: Vec<String>,
+}
+
+impl ConfigError {
+    pub(crate) fn unreadable(name: &str, error: &std::io::Error) -> Self {
+        Self { lines: vec![format!("{name}: cannot be read: {error}; give the path of a file that can be")] }
+    }
+
+    /// Each fault as a line.
+    #[must_use]
+    pub fn lines(&self) -> &[String] {
+        &self.lines
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.lines.join("\n"))
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// A parsed document.
+#[derive(Debug)]
+pub struct Document {
+    name: String,
+    value: Value,
+    /// The line of each field by its pointer.
+    lines: Vec<(String, usize)>,
+}
+
+impl Document {
+    /// Parses YAML 1.2. Keys are text, and none stands twice in a mapping.
+    ///
+    /// # Errors
+    /// Where it is no YAML, or more or less than one document.
+    pub fn parse(name: &str, text: &str) -> Result<Self, ConfigError> {
+        let fail = |line: usize, what: String| ConfigError { lines: vec![format!("{name}:{line}: {what}")] };
+        let documents = MarkedYaml::load_from_str(text)
+            .map_err(|e| fail(e.marker().line(), format!("not YAML: {}; correct this line", e.info())))?;
+        let [root] = documents.as_slice() else {
+            return Err(fail(1, "the file holds no document, or several; write one mapping".into()));
+        };
+        let mut document = Self { name: name.to_owned(), value: Value::Null, lines: Vec::new() };
+        document.value = document.convert(root, String::new()).map_err(|(line, what)| fail(line, what))?;
+        Ok(document)
+    }
+
+    fn convert(&mut self, node: &MarkedYaml<'_>, pointer: String) -> Result<Value, (usize, String)> {
+        let line = node.span.start.line();
+        if !self.lines.iter().any(|(p, _)| *p == pointer) {
+            self.lines.push((pointer.clone(), line));
+        }
+        Ok(match &node.data {
+            YamlData::Value(scalar) => match scalar {
+                Scalar::Null => Value::Null,
+                Scalar::Boolean(b) => Value::Bool(*b),
+                Scalar::Integer(n) => Value::from(*n),
+                Scalar::FloatingPoint(x) => Value::from(x.into_inner()),
+                Scalar::String(s) => Value::String(s.to_string()),
+            },
+            YamlData::Sequence(items) => {
+                let items = items.iter().enumerate();
+                Value::Array(
+                    items
+                        .map(|(n, item)| self.convert(item, format!("{pointer}/{n}")))
+                        .collect::<Result<_, _>>()?,
+                )
+            }
+            YamlData::Mapping(pairs) => {
+                let mut map = Map::new();
+                for (key, value) in pairs {
+                    let YamlData::Value(Scalar::String(name)) = &key.data else {
+                        return Err((key.span.start.line(), "a key is no text; put it in quotes".into()));
+                    };
+                    let pointer = format!("{pointer}/{}", name.replace('~', "~0").replace('/', "~1"));
+                    self.lines.push((pointer.clone(), key.span.start.line()));
+                    let value = self.convert(value, pointer)?;
+                    if map.insert(name.to_string(), value).is_some() {
+                        return Err((key.span.start.line(), format!("{name} stands twice; remove one")));
+                    }
+                }
+                Value::Object(map)
+            }
+            _ => {
+                return Err((
+                    line,
+                    "tags and unknown anchors are not used here; write the value itself".into(),
+                ));
+            }
+        })
+    }
+
+    /// Reads the document as `T` if its schema allows it.
+    ///
+    /// # Errors
+    /// All that the schema finds wrong.
+    pub fn read<T: DeserializeOwned + schemars::JsonSchema>(&self) -> Result<T, ConfigError> {
+        let schema = schemars::schema_for!(T).to_value();
+        let validator = jsonschema::validator_for(&schema)
+            .map_err(|e| self.errors(vec![Fault::new("", format!("the schema itself is wrong: {e}"))]))?;
+        let faults: Vec<Fault> = validator.iter_errors(&self.value).flat_map(|e| explain(&e)).collect();
+        if !faults.is_empty() {
+            return Err(self.errors(faults));
+        }
+        T::deserialize(&self.value).map_err(|e| self.errors(vec![Fault::new("", e.to_string())]))
+    }
+
+    /// Gives faults their lines.
+    #[must_use]
+    pub fn errors(&self, mut faults: Vec<Fault>) -> ConfigError {
+        faults.dedup();
+        let mut lines: Vec<(usize, String)> = faults
+            .into_iter()
+            .map(|fault| {
+                let field = match fault.pointer.trim_start_matches('/') {
+                    "" => "(the whole file)".to_owned(),
+                    path => path.replace('/', "."),
+                };
+                let line = self.line_of(&fault.pointer);
+                (line, format!("{}:{line}: {field}: {}", self.name, fault.text))
+            })
+            .collect();
+        lines.sort();
+        ConfigError { lines: lines.into_iter().map(|(_, text)| text).collect() }
+    }
+
+    /// The line of a field, or of the nearest one around it that is there.
+    fn line_of(&self, pointer: &str) -> usize {
+        let mut pointer = pointer;
+        loop {
+            if let Some((_, line)) = self.lines.iter().find(|(p, _)| p == pointer) {
+                return *line;
+            }
+            match pointer.rfind('/') {
+                Some(at) => pointer = &pointer[..at],
+                None => return 1,
+            }
+        }
+    }
+}
+
+fn explain(error: &jsonschema::ValidationError<'_>) -> Vec<Fault> {
+    let at = error.instance_path().to_string();
+    let seen = error.instance();
+    let one = |text: String| vec![Fault::new(at.clone(), text)];
+    match error.kind() {
+        Kind::AdditionalProperties { unexpected } | Kind::UnevaluatedProperties { unexpected } => unexpected
+            .iter()
+            .map(|name| Fault::new(format!("{at}/{name}"), "no such field; remove it or correct its name"))
+            .collect(),
+        Kind::Required { property } => {
+            one(format!("{} is missing; add it", property.as_str().unwrap_or("a field")))
+        }
+        Kind::Type { .. } => one(format!("{error}; give a value of that type")),
+        Kind::Enum { options } => one(format!("{seen} is none of {options}; choose one of them")),
+        // Values with a description each are a choice of constants in the schema.
+        Kind::OneOfNotValid { context } | Kind::AnyOf { context } => {
+            let options = context.iter().flatten().filter_map(|e| match e.kind() {
+                Kind::Constant { expected_value } => Some(expected_value.to_string()),
+                _ => None,
+            });
+            let options = options.collect::<Vec<_>>().join(", ");
+            one(match options.as_str() {
+                "" => format!("{error}; see `fawnrouter schema`"),
+                options => format!("{seen} is none of {options}; choose one of them"),
+            })
+        }
+        Kind::Minimum { limit } | Kind::ExclusiveMinimum { limit } => {
+            one(format!("{seen} is too small; the least is {limit}"))
+        }
+        Kind::Maximum { limit } | Kind::ExclusiveMaximum { limit } => {
+            one(format!("{seen} is too large; the most is {limit}"))
+        }
+        Kind::MinItems { limit } => one(format!("too few entries; give at least {limit}")),
+        Kind::MaxItems { limit } => one(format!("too many entries; give at most {limit}")),
+        Kind::MinLength { .. } => one("the text is empty; fill it in".into()),
+        _ => one(format!("{error}; see `fawnrouter schema`")),
+    }
+}
--- /dev/null
+++ b/crates/fawnrouter-config/tests/errors.rs
@@ -0,0 +1,100 @@
+//! What is wrong is told with its line, its field and a remedy.
+
+use fawnrouter_config::{parse, read_switches, schema};
+
+const GOOD: &str = include_str!("../../../examples/gateway.yaml");
+
+fn errors(from: &str, to: &str) -> Vec<String> {
+    assert!(GOOD.contains(from), "{from}");
+    parse("g.yaml", &GOOD.replacen(from, to, 1)).expect_err(to).lines().to_vec()
+}
+
+fn line_of(text: &str) -> usize {
+    GOOD.lines().position(|l| l.contains(text)).expect("the line is there") + 1
+}
+
+#[test]
+fn the_example_settings_start() {
+    let settings = parse("g.yaml", GOOD).expect("the example is sound");
+    let engine = settings.engine(1, false);
+    assert!(fawnrouter_engine::Engine::new(engine).is_ok());
+    assert_eq!(
+        read_switches("s.yaml", include_str!("../../../examples/switches.yaml")).map(|s| s.len()),
+        Ok(2)
+    );
+}
+
+#[test]
+fn each_fault_names_line_field_and_remedy() {
+    let rows = [
+        ("count: 2", "count: 0", "count: 2", "gateway.count: 0 is too small; the least is 1"),
+        ("number: 0", "number: 7", "number: 0", "gateway.number: is not below count (2)"),
+        ("path: /", "pfad: /", "path: /", "listen.pfad: no such field; remove it or correct its name"),
+        ("level: info", "level: loud", "level: info", "log.level: \"loud\" is none of"),
+        (
+            "late_share: 0.25",
+            "late_share: 2",
+            "late_share: 0.25",
+            "classes.0.late_share: 2 is too large; the most is 1",
+        ),
+        (
+            "aim_ms: 2000, deadline_ms: 9000, points: 2",
+            "aim_ms: 9500, deadline_ms: 9000, points: 2",
+            "points: 2",
+            "classes.1.aim_ms: is beyond deadline_ms (9000); lower it",
+        ),
+        (
+            "class: transfer-status }",
+            "class: nothing }",
+            "X-Kind",
+            "calls.class.0.class: no class is called nothing; add it",
+        ),
+        ("address: 127.0.0.1:5080", "address: 5080", "address: 127.0.0.1:5080", "listen.address: "),
+        ("  file: switches.yaml", "  poll_ms: 100", "switches:", "switches: file is missing; add it"),
+        (
+            "drain_grace_ms: 1000",
+            "drain_grace_ms: -4",
+            "drain_grace_ms: 1000",
+            "rules.drain_grace_ms: -4 is too small",
+        ),
+    ];
+    for (from, to, at, expected) in rows {
+        let lines = errors(from, to);
+        let start = format!("g.yaml:{}: {expected}", line_of(at));
+        assert!(lines.iter().any(|l| l.starts_with(&start)), "{to}: wanted {start}, got {lines:#?}");
+    }
+}
+
+#[test]
+fn what_is_no_yaml_is_told_with_its_line() {
+    assert!(errors("tenants:", "tenants: [")[0].starts_with("g.yaml:"));
+    assert!(errors("  count: 2", "  number: 2")[0].contains("g.yaml:"));
+    assert!(parse("g.yaml", "").is_err());
+    assert!(parse("g.yaml", "1: 2").unwrap_err().lines()[0].contains("a key is no text"));
+}
+
+#[test]
+fn an_address_that_is_none_is_told() {
+    let lines = errors("address: 127.0.0.1:5080", "address: nowhere");
+    assert!(lines[0].contains("socket address"), "{lines:?}");
+}
+
+#[test]
+fn a_switch_that_stands_twice_is_told() {
+    let text = "switches:\n  - { id: 1, address: '127.0.0.1:1', pool: 0 }\n  - { id: 1, address: '127.0.0.1:2', pool: 0 }\n";
+    let error = read_switches("s.yaml", text).unwrap_err();
+    assert_eq!(error.lines(), ["s.yaml:3: switches.1.id: 1 stands twice; ids are unique"]);
+}
+
+#[test]
+fn an_empty_list_is_a_list() {
+    assert_eq!(read_switches("s.yaml", "switches: []"), Ok(vec![]));
+}
+
+#[test]
+fn the_schema_names_every_section() {
+    let schema = schema();
+    for section in ["gateway", "listen", "switches", "classes", "rules", "limits", "trunk", "log", "drain"] {
+        assert!(schema["properties"].get(section).is_some(), "{section}");
+    }
+}
--- /dev/null
+++ b/crates/fawnrouter-engine/src/interface.rs
@@ -0,0 +1,208 @@
+//! What goes into an [`Engine`](crate::Engine) and what comes out of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fawnrouter::{AttemptNo, CallId, ListKind, Outcome, ServerEntry, ServerId};
+use fawnrouter_sip::Message;
+
+use crate::{BackoffSettings, CallRules, IntakeLimits};
+
+/// A client's connection, as the driver numbers it. Numbers are never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// All that an engine is told at its start.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// The decisions' settings.
+    pub decisions: fawnrouter::Settings,
+    /// Seed of all random numbers: the controller's, tags, branches, back-off.
+    pub seed: u64,
+    /// The gateway's host (and port) in Via and Contact.
+    pub host: String,
+    /// How calls are told apart.
+    pub rules: CallRules,
+    /// What is taken at all.
+    pub intake: IntakeLimits,
+    /// How lost connections to switches come back.
+    pub backoff: BackoffSettings,
+    /// A standing call outlives the loss of its switch's connection this long (RFC 3261 §18: connections are no
+    /// part of a dialog); then it counts as cut.
+    pub cut_after: Duration,
+    /// The longest `Expires` that is believed; a longer or missing one is replaced by the class's deadline.
+    pub longest_try: Duration,
+    /// Whether [`Output::Word`]s are wanted.
+    pub words: bool,
+}
+
+/// A core switch of the list, with where it listens.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Switch {
+    /// What the decisions are told of it.
+    pub entry: ServerEntry,
+    /// Its SIP listener, TCP.
+    pub address: SocketAddr,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A client's connection is open, its handshake done.
+    ClientUp {
+        /// The connection.
+        client: ClientId,
+        /// Where it comes from.
+        peer: SocketAddr,
+    },
+    /// A client sent a message.
+    ClientMessage {
+        /// The connection.
+        client: ClientId,
+        /// The message.
+        message: Box<Message>,
+    },
+    /// A client's connection is gone.
+    ClientDown {
+        /// The connection.
+        client: ClientId,
+    },
+    /// A connection to a switch is open.
+    TrunkUp {
+        /// The switch.
+        server: ServerId,
+    },
+    /// A switch sent a message.
+    TrunkMessage {
+        /// The switch.
+        server: ServerId,
+        /// The message.
+        message: Box<Message>,
+    },
+    /// A connection to a switch is gone, or could not be opened.
+    TrunkDown {
+        /// The switch.
+        server: ServerId,
+    },
+    /// The list of switches changed.
+    List {
+        /// What the entries are.
+        kind: ListKind,
+        /// The entries.
+        switches: Vec<Switch>,
+    },
+    /// Nothing but time has passed: [`Engine::next_wake`](crate::Engine::next_wake) is due.
+    Wake,
+    /// No new calls from now on; [`Output::Drained`] follows when the last one has ended.
+    Drain,
+    /// End all calls now, each with its final answer or its release.
+    Stop,
+}
+
+/// What the driver is to do, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message to a client.
+    ToClient {
+        /// The connection.
+        client: ClientId,
+        /// A whole SIP message.
+        bytes: Vec<u8>,
+    },
+    /// Send a message to a switch.
+    ToTrunk {
+        /// The switch.
+        server: ServerId,
+        /// A whole SIP message.
+        bytes: Vec<u8>,
+    },
+    /// Connect to a switch; answer with [`Input::TrunkUp`] or [`Input::TrunkDown`].
+    OpenTrunk {
+        /// The switch.
+        server: ServerId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Close the connection to a switch; no [`Input::TrunkDown`] follows.
+    CloseTrunk {
+        /// The switch.
+        server: ServerId,
+    },
+    /// A line of the decisions for the operators.
+    Log(String),
+    /// A word about a call, if [`EngineSettings::words`] asks for them.
+    Word {
+        /// The call.
+        call: CallId,
+        /// What happened to it.
+        word: CallWord,
+    },
+    /// After [`Input::Drain`]: no call is left.
+    Drained,
+}
+
+/// What happens to a call, for logs and records.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallWord {
+    /// It was taken.
+    Taken {
+        /// The caller's Call-ID.
+        call_id: Arc<str>,
+        /// Its class's name.
+        class: Arc<str>,
+        /// The number called.
+        number: Arc<str>,
+    },
+    /// A set-up went out.
+    Sent {
+        /// Which attempt.
+        attempt: AttemptNo,
+        /// Where to.
+        server: ServerId,
+    },
+    /// An attempt ended without a standing call.
+    Closed {
+        /// Which attempt.
+        attempt: AttemptNo,
+        /// How.
+        outcome: Outcome,
+    },
+    /// The caller got its final answer.
+    Answered {
+        /// The status.
+        status: u16,
+        /// Time since the call came in.
+        after: Duration,
+    },
+    /// The standing call is over.
+    Released {
+        /// How.
+        outcome: Outcome,
+        /// Time that it stood.
+        stood: Duration,
+    },
+}
+
+/// Counts since the start, and what stands now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Calls taken.
+    pub taken: u64,
+    /// Calls not taken for limits or drain, answered 503.
+    pub not_taken: u64,
+    /// Calls that stood.
+    pub stood: u64,
+    /// Calls refused by the decisions.
+    pub refused: u64,
+    /// Calls that failed.
+    pub failed: u64,
+    /// Calls that the caller gave up.
+    pub abandoned: u64,
+    /// Standing calls that were cut.
+    pub cut: u64,
+    /// Requests answered 4xx or 5xx as they could not be worked on.
+    pub invalid: u64,
+    /// Set-ups sent.
+    pub attempts: u64,
+}
--- /dev/null
+++ b/crates/fawnrouter-engine/src/lib.rs
@@ -0,0 +1,37 @@
+#![forbid(unsafe_code)]
+//! The gateway as a state machine: a back-to-back user agent with a leg to the caller and one attempt leg at a
+//! time to a switch.
+//!
+//! [`Engine::handle`] takes the clock's reading and an [`Input`] (a parsed message, a connection that came up or
+//! went down, a change of the list, a timer due) and appends [`Output`]s: messages to send, connections to open or
+//! close, words for the log. It owns the [`fawnrouter::Controller`], which decides every set-up, and the call
+//! table. No socket, no clock, no thread, no unseeded randomness, no iteration in hash order: the same inputs give
+//! the same outputs, under the daemon as under a model.
+//!
+//! | module | what it decides or does |
+//! | --- | --- |
+//! | `intake` | which new call is taken at all: limits, drain |
+//! | `classify` | class, tenant and first-choice pool of a call, by rules in the settings |
+//! | `status` | the written table of SIP status and [`fawnrouter::Outcome`], both ways |
+//! | `backoff` | when a lost connection to a switch is tried again |
+//! | `caller`, `trunk` | messages of the caller's leg and of the attempt legs |
+//! | `engine` | inputs, the controller's events and actions, timers |
+
+mod backoff;
+mod caller;
+mod classify;
+mod engine;
+mod intake;
+mod interface;
+mod status;
+mod table;
+mod trunk;
+
+pub use backoff::{Backoff, BackoffSettings};
+pub use classify::{CallRules, Classified, Destination, Match, Rule};
+pub use engine::Engine;
+pub use fawnrouter;
+pub use fawnrouter_sip as sip;
+pub use intake::{Intake, IntakeLimits, Load, Refusal};
+pub use interface::*;
+pub use status::{Answer, Finality, Meaning, Told, answer_to_caller, meaning, overload_words};
--- /dev/null
+++ b/crates/fawnrouter-engine/src/status.rs
@@ -0,0 +1,196 @@
+//! The written table between SIP statuses and the decisions' words, in both directions.
+//!
+//! From a switch (RFC 3261 §21; Reason RFC 3326; Q.850 causes of ITU-T Q.850 table 1):
+//!
+//! | final response | outcome | note | what becomes of the call |
+//! | --- | --- | --- | --- |
+//! | 2xx | stands | | stands |
+//! | 503 with Reason Q.850;cause=34 (no circuit) or 44 | `Full` | `NoCircuit` | may go elsewhere |
+//! | 503, 500 with Reason Q.850;cause=42 (congestion) | `Full` | `ProcessorFull`, with the told Retry-After | may go elsewhere |
+//! | 486, 600, or any with Reason Q.850;cause=17 | `Error` | `NumberBusy` | the controller gives it up |
+//! | 408, 504 | `TimedOut` | | may go elsewhere after the guard |
+//! | 487 | `Cancelled` | | may go elsewhere after the guard |
+//! | 404, 410, 413, 415, 416, 484, 485, 488, 603, 604, 606 | `Error` | | ends: the fault is the number's or the offer's |
+//! | any other 3xx to 6xx | `Error` | | may go elsewhere |
+//! | none: no connection | `ConnectFailed` | | may go elsewhere |
+//! | none: connection lost | `Reset` | | may go elsewhere after the guard |
+//!
+//! To the caller:
+//!
+//! | decision | after | status |
+//! | --- | --- | --- |
+//! | refused | the number's lines were busy | 486, Retry-After |
+//! | refused | anything else | 503, Retry-After |
+//! | failed | a final response of a switch | that response |
+//! | failed | no answer | 504 |
+
+use std::time::Duration;
+
+use fawnrouter::{Note, Outcome, Report};
+use fawnrouter_sip::{Message, Name, Reason, Via};
+
+/// Whether other switches may still take the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finality {
+    /// Another attempt can help.
+    MayGoOn,
+    /// None can: the answer goes to the caller as it is.
+    Ends,
+}
+
+/// What a final response of 300 or more means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Meaning {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// What is said beside it.
+    pub note: Note,
+    /// What becomes of the call.
+    pub finality: Finality,
+}
+
+/// What a response told beside its status.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Retry-After.
+    pub retry_after: Option<Duration>,
+    /// The cause of a Reason in Q.850.
+    pub q850: Option<u16>,
+}
+
+impl Told {
+    /// Reads a response.
+    #[must_use]
+    pub fn of(response: &Message) -> Self {
+        let retry = response.get(Name::RetryAfter).and_then(|v| {
+            // A comment or parameters may follow the seconds (RFC 3261 §20.33).
+            let digits = v.split(['(', ';', ' ']).next().unwrap_or("");
+            digits.parse::<u32>().ok()
+        });
+        let reasons = response.values(Name::Reason).map(Reason::parse);
+        let q850 = reasons.filter(|r| r.protocol.eq_ignore_ascii_case("Q.850")).find_map(|r| r.cause);
+        Self { retry_after: retry.map(|s| Duration::from_secs(u64::from(s))), q850 }
+    }
+}
+
+/// The table from a switch's final response.
+#[must_use]
+pub fn meaning(status: u16, told: Told) -> Meaning {
+    let (outcome, note) = match (status, told.q850) {
+        (_, Some(17)) | (486 | 600, _) => (Outcome::Error, Note::NumberBusy),
+        (503, Some(34 | 44)) => (Outcome::Full, Note::NoCircuit),
+        (503, _) | (500, Some(42)) => (Outcome::Full, Note::ProcessorFull(told.retry_after)),
+        (408 | 504, _) => (Outcome::TimedOut, Note::None),
+        (487, _) => (Outcome::Cancelled, Note::None),
+        _ => (Outcome::Error, Note::None),
+    };
+    let ends = matches!(status, 404 | 410 | 413 | 415 | 416 | 484 | 485 | 488 | 603 | 604 | 606);
+    let finality = if ends && note == Note::None { Finality::Ends } else { Finality::MayGoOn };
+    Meaning { outcome, note, finality }
+}
+
+/// A final answer to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// Retry-After, whole seconds.
+    pub retry_after_s: Option<u64>,
+    /// The text of the Reason header.
+    pub text: &'static str,
+}
+
+/// The table towards the caller. `refused` is the controller's refusal with its advice, `None` its failure;
+/// `last` is the last final response of a switch to this call.
+#[must_use]
+pub fn answer_to_caller(refused: Option<Duration>, last: Option<(u16, Note)>) -> Answer {
+    match (refused, last) {
+        (Some(wait), Some((status, Note::NumberBusy))) => {
+            Answer { status, retry_after_s: seconds(wait), text: "all lines of the number are busy" }
+        }
+        (Some(wait), _) => {
+            Answer { status: 503, retry_after_s: seconds(wait), text: "no switch could take the call" }
+        }
+        // A switch's 408 or 503 is not the caller's: it would tell it to go elsewhere itself.
+        (None, Some((status, _))) if !matches!(status, 408 | 487 | 503 | 504) => {
+            Answer { status, retry_after_s: None, text: "the switch refused the call" }
+        }
+        (None, _) => Answer { status: 504, retry_after_s: None, text: "no switch answered in time" },
+    }
+}
+
+/// Whole seconds, rounded up: a caller that comes earlier than it should is worse than one a little later.
+fn seconds(wait: Duration) -> Option<u64> {
+    (!wait.is_zero()).then(|| wait.as_secs() + u64::from(wait.subsec_nanos() > 0))
+}
+
+/// A switch's own overload control in the Via it sends back (RFC 7339 §4, RFC 7415 §3): a share of set-ups to hold
+/// back, or a rate. The rate is this gateway's part; the report wants what all senders may send.
+#[must_use]
+pub fn overload_words(via: &Via<'_>, gateways: u32) -> Option<Report> {
+    let oc = via.params.get("oc").filter(|v| !v.is_empty())?.parse::<f64>().ok();
+    let oc = oc.filter(|x| x.is_finite() && *x >= 0.0)?;
+    // A validity of 0 ends overload control (RFC 7339 §4.3).
+    if via.params.get("oc-validity").is_some_and(|v| v.trim() == "0") {
+        return Some(Report { hold_back: Some(0.0), ..Report::default() });
+    }
+    match via.params.get("oc-algo").unwrap_or("loss") {
+        "rate" => Some(Report { can_take: Some(oc * f64::from(gateways)), ..Report::default() }),
+        _ => Some(Report { hold_back: Some((oc / 100.0).min(1.0)), ..Report::default() }),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_row_of_the_table_from_a_switch_holds() {
+        let wait = Some(Duration::from_secs(2));
+        let rows = [
+            (503, None, None, Outcome::Full, Note::ProcessorFull(None), Finality::MayGoOn),
+            (503, wait, None, Outcome::Full, Note::ProcessorFull(wait), Finality::MayGoOn),
+            (503, wait, Some(34), Outcome::Full, Note::NoCircuit, Finality::MayGoOn),
+            (500, None, Some(42), Outcome::Full, Note::ProcessorFull(None), Finality::MayGoOn),
+            (500, None, None, Outcome::Error, Note::None, Finality::MayGoOn),
+            (486, None, None, Outcome::Error, Note::NumberBusy, Finality::MayGoOn),
+            (480, None, Some(17), Outcome::Error, Note::NumberBusy, Finality::MayGoOn),
+            (408, None, None, Outcome::TimedOut, Note::None, Finality::MayGoOn),
+            (487, None, None, Outcome::Cancelled, Note::None, Finality::MayGoOn),
+            (404, None, None, Outcome::Error, Note::None, Finality::Ends),
+            (604, None, None, Outcome::Error, Note::None, Finality::Ends),
+            (302, None, None, Outcome::Error, Note::None, Finality::MayGoOn),
+        ];
+        for (status, retry_after, q850, outcome, note, finality) in rows {
+            let expected = Meaning { outcome, note, finality };
+            assert_eq!(meaning(status, Told { retry_after, q850 }), expected, "{status} {q850:?}");
+        }
+    }
+
+    #[test]
+    fn every_row_of_the_table_towards_the_caller_holds() {
+        let ms = Duration::from_millis;
+        let answer = |refused, last| {
+            let a = answer_to_caller(refused, last);
+            (a.status, a.retry_after_s)
+        };
+        assert_eq!(answer(Some(ms(0)), None), (503, None));
+        assert_eq!(answer(Some(ms(1001)), Some((503, Note::ProcessorFull(None)))), (503, Some(2)));
+        assert_eq!(answer(Some(ms(2000)), Some((486, Note::NumberBusy))), (486, Some(2)));
+        assert_eq!(answer(None, None), (504, None));
+        assert_eq!(answer(None, Some((500, Note::None))), (500, None));
+        assert_eq!(answer(None, Some((503, Note::None))), (504, None));
+    }
+
+    #[test]
+    fn overload_words_become_a_share_or_a_rate() {
+        let words = |text: &str| overload_words(&Via::parse(text).expect("a Via"), 4);
+        let loss = words("SIP/2.0/TCP h;branch=z;oc=20;oc-algo=\"loss\";oc-validity=500;oc-seq=1.1");
+        assert_eq!(loss.and_then(|r| r.hold_back), Some(0.2));
+        let rate = words("SIP/2.0/TCP h;branch=z;oc=150;oc-algo=\"rate\";oc-validity=1000");
+        assert_eq!(rate.and_then(|r| r.can_take), Some(600.0));
+        assert_eq!(words("SIP/2.0/TCP h;oc=70;oc-validity=0").and_then(|r| r.hold_back), Some(0.0));
+        assert_eq!(words("SIP/2.0/TCP h;branch=z;oc"), None);
+        assert_eq!(words("SIP/2.0/TCP h;oc=-5"), None);
+    }
+}
--- /dev/null
+++ b/crates/fawnrouter-engine/tests/common/mod.rs
@@ -0,0 +1,334 @@
+//! An engine driven by hand: a clock, clients and switches that answer what the test tells them to.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use fawnrouter_engine::fawnrouter::*;
+use fawnrouter_engine::sip::{Draft, Limits as SipLimits, Message, Method, Name};
+use fawnrouter_engine::*;
+
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn settings() -> EngineSettings {
+    let class = |name: &str, points| ClassSettings {
+        name: name.into(),
+        aim: ms(2000),
+        deadline: ms(9000),
+        points,
+        late_share: 0.25,
+        effect: Effect::Safe,
+        pools: None,
+    };
+    EngineSettings {
+        decisions: Settings {
+            gateways: 1,
+            me: PeerId(0),
+            classes: vec![class("check", 1.0), class("transfer", 3.0)],
+            tenants: vec![],
+            over_share_worth: 1.0,
+            rules: Rules {
+                drain_grace: ms(1000),
+                cold_from: 0.3,
+                cold_time: ms(14_000),
+                fall_multiple: 3.0,
+                fall_time: ms(1000),
+                release_guard: ms(300),
+                ask_within: ms(10_000),
+            },
+            limits: fawnrouter_engine::fawnrouter::Limits {
+                max_attempts: 5,
+                cancel: true,
+                peers: false,
+                probes: false,
+                retry_after: true,
+                max_retry_after: ms(2000),
+            },
+            topology: Topology::Pools,
+            discovery: Discovery::Push,
+            resend: None,
+            tick: ms(1),
+        },
+        seed: 5,
+        host: "gw.example".into(),
+        rules: CallRules {
+            class: vec![
+                Rule {
+                    when: Match { header: Some(("X-Class".into(), "transfer".into())), ..Match::default() },
+                    gets: ClassId(1),
+                },
+                Rule { when: Match::default(), gets: ClassId(0) },
+            ],
+            tenant: vec![],
+            destination: vec![Rule { when: Match::default(), gets: Destination::Pool(Cell(0)) }],
+        },
+        intake: IntakeLimits { calls: 50_000, pending: 20_000, per_client: 20_000, retry_after: ms(2000) },
+        backoff: BackoffSettings { first: ms(100), most: ms(2000) },
+        cut_after: ms(5000),
+        longest_try: ms(60_000),
+        words: false,
+    }
+}
+
+pub fn switch(id: u32) -> Switch {
+    let entry =
+        ServerEntry { id: ServerId(id), zone: "z".into(), cell: Cell(id % 10), ..ServerEntry::default() };
+    Switch { entry, address: format!("127.0.0.1:{}", 5000 + id).parse().expect("an address") }
+}
+
+/// What left the engine, parsed.
+#[derive(Clone, Debug)]
+pub enum Sent {
+    Client(ClientId, Message),
+    Trunk(ServerId, Message),
+    Open(ServerId),
+    CloseTrunk(ServerId),
+    Drained,
+}
+
+pub struct Rig {
+    pub engine: Engine,
+    pub now: Time,
+    pub sent: Vec<Sent>,
+    /// Connections that the engine asked for are opened at once, except to these switches.
+    pub refuses: BTreeSet<u32>,
+    pub up: BTreeSet<u32>,
+    calls: u64,
+}
+
+pub const C: ClientId = ClientId(1);
+
+impl Rig {
+    pub fn new(settings: EngineSettings) -> Self {
+        let engine = Engine::new(settings).expect("the settings are sound");
+        let now = Time::from_nanos(1_700_000_000_000_000_000);
+        let (sent, refuses, up) = (Vec::new(), BTreeSet::new(), BTreeSet::new());
+        let mut rig = Self { engine, now, sent, refuses, up, calls: 0 };
+        rig.input(Input::ClientUp { client: C, peer: "127.0.0.1:999".parse().expect("an address") });
+        rig
+    }
+
+    /// With switches 70, 71, ... of pools 0, 1, ..., all connected.
+    pub fn with_switches(count: u32) -> Self {
+        let mut rig = Self::new(settings());
+        rig.list(ListKind::Whole, (70..70 + count).map(switch).collect());
+        rig
+    }
+
+    pub fn list(&mut self, kind: ListKind, switches: Vec<Switch>) {
+        self.input(Input::List { kind, switches });
+    }
+
+    pub fn input(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.engine.handle(self.now, input, &mut out);
+        let mut opened = Vec::new();
+        for output in out {
+            let parse =
+                |bytes: &[u8]| Message::parse(bytes, &SipLimits::default()).expect("the engine writes SIP");
+            match output {
+                Output::ToClient { client, bytes } => self.sent.push(Sent::Client(client, parse(&bytes))),
+                Output::ToTrunk { server, bytes } => {
+                    assert!(self.up.contains(&server.0), "sent to a switch without a connection");
+                    self.sent.push(Sent::Trunk(server, parse(&bytes)));
+                }
+                Output::OpenTrunk { server, .. } => {
+                    self.sent.push(Sent::Open(server));
+                    opened.push(server);
+                }
+                Output::CloseTrunk { server } => {
+                    self.up.remove(&server.0);
+                    self.sent.push(Sent::CloseTrunk(server));
+                }
+                Output::Drained => self.sent.push(Sent::Drained),
+                Output::Log(_) | Output::Word { .. } => {}
+            }
+        }
+        for server in opened {
+            if self.refuses.contains(&server.0) {
+                self.input(Input::TrunkDown { server });
+            } else {
+                self.up.insert(server.0);
+                self.input(Input::TrunkUp { server });
+            }
+        }
+    }
+
+    pub fn trunk_down(&mut self, server: u32) {
+        self.up.remove(&server);
+        self.input(Input::TrunkDown { server: ServerId(server) });
+    }
+
+    /// Lets time pass, waking the engine whenever it asks for it.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.now.plus(span);
+        while let Some(due) = self.engine.next_wake().filter(|t| *t <= end) {
+            self.now = self.now.max(due);
+            self.input(Input::Wake);
+        }
+        self.now = end;
+    }
+
+    /// A fresh INVITE; the number tells calls apart.
+    pub fn invite(&mut self, expires: Option<u64>, extra: &[(&str, &str)]) -> Message {
+        self.calls += 1;
+        let n = self.calls;
+        let mut draft = Draft::request(Method::Invite, &format!("sip:+9148{n}@gw.example"));
+        draft
+            .field(Name::Via, &format!("SIP/2.0/WS c1.invalid;branch=z9hG4bKc{n}"))
+            .field(Name::MaxForwards, "70")
+            .field(Name::From, "<sip:desk@c1.invalid>;tag=f1")
+            .field(Name::To, &format!("<sip:+9148{n}@gw.example>"))
+            .field(Name::CallId, &format!("call-{n}"))
+            .field(Name::CSeq, "1 INVITE")
+            .field(Name::Contact, "<sip:desk@c1.invalid;transport=ws>")
+            .field(Name::ContentType, "application/sdp");
+        if let Some(seconds) = expires {
+            draft.field(Name::Expires, &seconds.to_string());
+        }
+        for (name, value) in extra {
+            draft.named(name, value);
+        }
+        parse(&draft.finish(b"v=0 offer"))
+    }
+
+    pub fn client_says(&mut self, message: &Message) {
+        self.input(Input::ClientMessage { client: C, message: Box::new(message.clone()) });
+    }
+
+    /// Sends a fresh INVITE.
+    pub fn call(&mut self, expires: u64) -> Message {
+        let invite = self.invite(Some(expires), &[]);
+        self.client_says(&invite);
+        invite
+    }
+
+    pub fn switch_says(&mut self, server: ServerId, message: &Message) {
+        self.input(Input::TrunkMessage { server, message: Box::new(message.clone()) });
+    }
+
+    /// A switch answers an INVITE (or another request) of the gateway.
+    pub fn answer(&mut self, server: ServerId, request: &Message, status: u16, extra: &[(Name, &str)]) {
+        let response = response(request, status, extra);
+        self.switch_says(server, &response);
+    }
+
+    /// Takes what was sent so far.
+    pub fn take(&mut self) -> Vec<Sent> {
+        std::mem::take(&mut self.sent)
+    }
+
+    /// Requests of this method sent to switches so far, with where.
+    pub fn to_switches(&self, method: Method) -> Vec<(ServerId, Message)> {
+        let hits = self.sent.iter().filter_map(|s| match s {
+            Sent::Trunk(server, m) if m.method() == Some(method) => Some((*server, m.clone())),
+            _ => None,
+        });
+        hits.collect()
+    }
+
+    /// The last such request.
+    pub fn last_to_switch(&self, method: Method) -> (ServerId, Message) {
+        self.to_switches(method).pop().unwrap_or_else(|| panic!("no {method:?} was sent: {:#?}", self.sent))
+    }
+
+    /// Statuses of all responses to the INVITE with this Call-ID.
+    pub fn statuses(&self, invite: &Message) -> Vec<u16> {
+        self.answers(invite).iter().filter_map(Message::status).collect()
+    }
+
+    pub fn answers(&self, invite: &Message) -> Vec<Message> {
+        let hits = self.sent.iter().filter_map(|s| match s {
+            Sent::Client(_, m)
+                if m.status().is_some()
+                    && m.get(Name::CallId) == invite.get(Name::CallId)
+                    && m.get(Name::CSeq) == invite.get(Name::CSeq) =>
+            {
+                Some(m.clone())
+            }
+            _ => None,
+        });
+        hits.collect()
+    }
+
+    /// The final statuses among them.
+    pub fn finals(&self, invite: &Message) -> Vec<u16> {
+        self.statuses(invite).into_iter().filter(|s| *s >= 200).collect()
+    }
+
+    /// Requests of the gateway to the client.
+    pub fn to_client(&self, method: Method) -> Vec<Message> {
+        let hits = self.sent.iter().filter_map(|s| match s {
+            Sent::Client(_, m) if m.method() == Some(method) => Some(m.clone()),
+            _ => None,
+        });
+        hits.collect()
+    }
+
+    /// A call that stands, acknowledged: its INVITE, its 200, the switch and the INVITE that went there.
+    pub fn standing(&mut self) -> (Message, Message, ServerId, Message) {
+        let invite = self.call(9);
+        let (server, out) = self.last_to_switch(Method::Invite);
+        self.answer(server, &out, 200, &[]);
+        let ok = self.answers(&invite).pop().expect("an answer");
+        assert_eq!(ok.status(), Some(200));
+        self.client_says(&in_dialog(&invite, &ok, Method::Ack, 1));
+        (invite, ok, server, out)
+    }
+}
+
+pub fn parse(bytes: &[u8]) -> Message {
+    Message::parse(bytes, &SipLimits::default()).expect("a sound message")
+}
+
+/// What a switch answers.
+pub fn response(request: &Message, status: u16, extra: &[(Name, &str)]) -> Message {
+    let mut draft = Draft::answer(request, status, None, "sw", None);
+    if (200..300).contains(&status) {
+        draft.field(Name::Contact, "<sip:sw@127.0.0.1:5070;transport=tcp>");
+        draft.field(Name::ContentType, "application/sdp");
+    }
+    for (name, value) in extra {
+        draft.field(*name, value);
+    }
+    let body: &[u8] = if (200..300).contains(&status) { b"v=0 answer" } else { b"" };
+    parse(&draft.finish(body))
+}
+
+/// The caller's request in the dialog that its 200 began.
+pub fn in_dialog(invite: &Message, ok: &Message, method: Method, cseq: u32) -> Message {
+    let mut draft = Draft::request(method, "sip:gateway@gw.example;transport=ws");
+    draft
+        .field(Name::Via, &format!("SIP/2.0/WS c1.invalid;branch=z9hG4bKd{cseq}{}", method.name()))
+        .field(Name::MaxForwards, "70")
+        .copy(invite, Name::From)
+        .copy(ok, Name::To)
+        .copy(invite, Name::CallId)
+        .field(Name::CSeq, &format!("{cseq} {}", method.name()));
+    parse(&draft.finish(b""))
+}
+
+/// The caller's CANCEL of its INVITE.
+pub fn cancel(invite: &Message) -> Message {
+    let mut draft = Draft::request(Method::Cancel, "sip:x@gw.example");
+    draft.copy(invite, Name::Via).copy(invite, Name::MaxForwards).copy(invite, Name::From);
+    draft.copy(invite, Name::To).copy(invite, Name::CallId).field(Name::CSeq, "1 CANCEL");
+    parse(&draft.finish(b""))
+}
+
+/// The caller's ACK of a refusal.
+pub fn ack_refusal(invite: &Message, refusal: &Message) -> Message {
+    let mut draft = Draft::request(Method::Ack, "sip:x@gw.example");
+    draft.copy(invite, Name::Via).copy(invite, Name::MaxForwards).copy(invite, Name::From);
+    draft.copy(refusal, Name::To).copy(invite, Name::CallId).field(Name::CSeq, "1 ACK");
+    parse(&draft.finish(b""))
+}
+
+/// What rules 1, 2 and 5 say of what was sent, worked out from the messages alone.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Finals by the caller's Call-ID.
+    pub finals: BTreeMap<String, Vec<u16>>,
+}
