--- a/crates/fawnrouter-config/src/settings.rs
+++ b/crates/fawnrouter-config/src/settings.rs
@@ -308,6 +308,9 @@
     /// Body of a SIP message.
     #[schemars(range(min = 0, max = 16_777_216))]
     pub body_bytes: usize,
+    /// Messages in a row that are no SIP, after which a connection is closed (1008).
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub bad_messages: usize,
     /// Bytes that wait to be written to one client or switch; beyond it the connection is closed.
     #[schemars(range(min = 4096, max = 1_073_741_824))]
     pub write_backlog_bytes: usize,
@@ -329,6 +332,7 @@
             head_bytes: 16 * 1024,
             fields: 128,
             body_bytes: 64 * 1024,
+            bad_messages: 20,
             write_backlog_bytes: 1024 * 1024,
             retry_after_ms: 2000,
             longest_try_ms: 60_000,
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(crate) settings: EngineSettings,
-    pub(crate) controller: Controller,
+    pub(crate) controller: Box<dyn Decide>,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) intake: Intake,
     pub(crate) table: Table,
@@ -42,9 +42,17 @@
     /// # Errors
     /// Where the decisions' settings hold figures that make no sense.
     pub fn new(settings: EngineSettings) -> Result<Self, SettingsError> {
+        let seed = ChaCha8Rng::seed_from_u64(settings.seed).next_u64();
+        let controller = Controller::new(settings.decisions.clone(), seed)?;
+        Ok(Self::with(settings, Box::new(controller)))
+    }
+
+    /// An engine around something else that decides, as a baseline in a comparison.
+    #[must_use]
+    pub fn with(settings: EngineSettings, controller: Box<dyn Decide>) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
-        let controller = Controller::new(settings.decisions.clone(), rng.next_u64())?;
-        Ok(Self {
+        rng.set_stream(1);
+        Self {
             intake: Intake::new(settings.intake),
             settings,
             controller,
@@ -58,7 +66,7 @@
             next_call: 0,
             next_leg: 0,
             drained_told: false,
-        })
+        }
     }
 
     /// Takes one input at the clock's reading `now` and appends what is to be done. A clock that steps back counts
--- a/crates/fawnrouter-engine/tests/calls.rs
+++ b/crates/fawnrouter-engine/tests/calls.rs
@@ -453,7 +453,8 @@
 #[test]
 fn requests_that_cannot_be_worked_on_are_answered_with_their_status() {
     let mut rig = Rig::with_switches(1);
-    let rows: [(&str, &[(&str, &str)], u16); 4] = [
+    type Row<'a> = (&'a str, &'a [(&'a str, &'a str)], u16);
+    let rows: [Row; 4] = [
         ("extension that is not known", &[("Require", "x-nothing, 100rel")], 420),
         ("two Max-Forwards", &[("Max-Forwards", "3")], 400),
         ("an Expires that is no number", &[("Expires", "soon")], 400),
--- /dev/null
+++ b/crates/fawnrouterd/src/lib.rs
@@ -0,0 +1,21 @@
+#![forbid(unsafe_code)]
+//! The daemon: thin drivers on async-io around the engine. One thread, one event core.
+//!
+//! Drivers decide how bytes move and nothing else: they read, feed a codec, call the engine, write what it says and
+//! wake it when it asks. Every buffer has a limit from the settings; beyond it a connection is closed.
+
+mod cli;
+mod client;
+mod core;
+mod list;
+mod log;
+mod outbox;
+mod serve;
+mod trunk;
+
+pub use cli::{Cli, Command, main_with};
+pub use fawnrouter_config as config;
+pub use fawnrouter_engine as engine;
+pub use log::start as start_log;
+pub use outbox::Outbox;
+pub use serve::{RunError, run, run_with};
--- /dev/null
+++ b/crates/fawnrouterd/src/list.rs
@@ -0,0 +1,62 @@
+//! The watched file that lists the switches. The catalogue subsystem will feed the same input.
+
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use async_io::Timer;
+use fawnrouter_config::read_switches;
+use fawnrouter_engine::Input;
+use fawnrouter_engine::fawnrouter::ListKind;
+
+use crate::core::Core;
+
+/// What tells one state of a file from another. Files are replaced by renaming, so the length and time suffice
+/// but for two writes of the same length within the file system's tick; the text itself is compared too.
+type Stamp = (SystemTime, u64);
+
+fn look(path: &Path, known: Option<Stamp>) -> Option<(Option<Stamp>, Result<String, String>)> {
+    let stamp = std::fs::metadata(path).and_then(|m| Ok((m.modified()?, m.len())));
+    let stamp = match stamp {
+        Ok(stamp) => stamp,
+        Err(e) => return Some((None, Err(format!("cannot be read: {e}")))),
+    };
+    let age = SystemTime::now().duration_since(stamp.0).unwrap_or_default();
+    // A file of the last two seconds may have changed within the tick of its time stamp.
+    if known == Some(stamp) && age > Duration::from_secs(2) {
+        return None;
+    }
+    Some((Some(stamp), std::fs::read_to_string(path).map_err(|e| format!("cannot be read: {e}"))))
+}
+
+/// Looks at the file for ever. A file that is missing or wrong is told once and changes nothing.
+pub async fn watch(core: Rc<Core>, path: PathBuf) {
+    let pause = Duration::from_millis(core.settings.switches.poll_ms);
+    let name = path.display().to_string();
+    let (mut known, mut last): (Option<Stamp>, Option<Result<String, String>>) = (None, None);
+    loop {
+        // Reading may block on a slow disk; the calls must not wait for it.
+        let seen = {
+            let path = path.clone();
+            blocking::unblock(move || look(&path, known)).await
+        };
+        if let Some((stamp, text)) = seen {
+            known = stamp;
+            if last.as_ref() != Some(&text) {
+                let list = text
+                    .as_ref()
+                    .map_err(Clone::clone)
+                    .and_then(|t| read_switches(&name, t).map_err(|e| e.to_string()));
+                match list {
+                    Ok(switches) => {
+                        tracing::info!(switches = switches.len(), "list of switches read");
+                        core.input(Input::List { kind: ListKind::Whole, switches });
+                    }
+                    Err(error) => tracing::warn!("list of switches kept as it was: {name}: {error}"),
+                }
+                last = Some(text);
+            }
+        }
+        Timer::after(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/fawnrouterd/src/log.rs
@@ -0,0 +1,69 @@
+//! Structured logs on standard error, and a span for each call.
+
+use std::collections::BTreeMap;
+
+use fawnrouter_config::{Log, LogFormat, LogLevel};
+use fawnrouter_engine::CallWord;
+use fawnrouter_engine::fawnrouter::CallId;
+use tracing::Level;
+
+/// Starts logging; a second start in the same process changes nothing.
+pub fn start(log: &Log) {
+    let level = match log.level {
+        LogLevel::Error => Level::ERROR,
+        LogLevel::Warn => Level::WARN,
+        LogLevel::Info => Level::INFO,
+        LogLevel::Debug => Level::DEBUG,
+    };
+    let base =
+        tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_target(false);
+    let _ = match log.format {
+        LogFormat::Text => base.with_ansi(false).try_init(),
+        LogFormat::Json => {
+            base.json().flatten_event(true).with_current_span(true).with_span_list(false).try_init()
+        }
+    };
+}
+
+/// The spans of calls that are not over. Bounded by the engine's limit on calls: each ends with its call.
+#[derive(Debug, Default)]
+pub struct Spans {
+    spans: BTreeMap<CallId, tracing::Span>,
+}
+
+impl Spans {
+    /// Logs a word about a call in its span.
+    pub fn word(&mut self, call: CallId, word: CallWord) {
+        if let CallWord::Taken { call_id, class, number } = &word {
+            let span = tracing::debug_span!("call", call_id = %call_id, class = %class, number = %number);
+            self.spans.insert(call, span);
+        }
+        let Some(span) = self.spans.get(&call) else { return };
+        let over = span.in_scope(|| match word {
+            CallWord::Taken { .. } => {
+                tracing::debug!("taken");
+                false
+            }
+            CallWord::Sent { attempt, server } => {
+                tracing::debug!(attempt = attempt.0, switch = server.0, "set-up sent");
+                false
+            }
+            CallWord::Closed { attempt, outcome } => {
+                tracing::debug!(attempt = attempt.0, ?outcome, "attempt ended");
+                false
+            }
+            CallWord::Answered { status, after } => {
+                tracing::debug!(status, after_ms = after.as_secs_f64() * 1e3, "answered");
+                status >= 300
+            }
+            CallWord::Released { outcome, stood } => {
+                tracing::debug!(?outcome, stood_ms = stood.as_secs_f64() * 1e3, "released");
+                true
+            }
+        });
+        // An attempt's end may still be told after the answer; it then goes without its span.
+        if over {
+            self.spans.remove(&call);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fawnrouterd/src/outbox.rs
@@ -0,0 +1,149 @@
+//! Bytes that wait to be written to one connection, with a limit.
+
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::task::{Poll, Waker};
+
+use async_io::Async;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    /// Nothing more is taken; what waits is written.
+    Finishing,
+    /// Nothing more is written.
+    Dead,
+}
+
+/// The queue of one connection. The writer may be dropped at any await and begun again.
+pub struct Outbox {
+    waiting: RefCell<Vec<u8>>,
+    /// What is being written, and from where on.
+    writing: RefCell<Vec<u8>>,
+    written: Cell<usize>,
+    limit: usize,
+    state: Cell<State>,
+    waker: Cell<Option<Waker>>,
+    killed: Cell<Option<Waker>>,
+}
+
+impl Outbox {
+    /// An empty one that holds `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            waiting: RefCell::default(),
+            writing: RefCell::default(),
+            written: Cell::new(0),
+            limit,
+            state: Cell::new(State::Open),
+            waker: Cell::new(None),
+            killed: Cell::new(None),
+        }
+    }
+
+    /// Adds what `write` appends. Beyond the limit the connection is given up: a peer that does not read must not
+    /// take the memory of all others.
+    pub fn push(&self, write: impl FnOnce(&mut Vec<u8>)) {
+        if self.state.get() != State::Open {
+            return;
+        }
+        write(&mut self.waiting.borrow_mut());
+        if self.backlog() > self.limit {
+            self.kill();
+        }
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Bytes that wait.
+    pub fn backlog(&self) -> usize {
+        self.waiting.borrow().len() + self.writing.borrow().len() - self.written.get()
+    }
+
+    /// Takes no more; the writer ends when all is written.
+    pub fn finish(&self) {
+        if self.state.get() == State::Open {
+            self.state.set(State::Finishing);
+        }
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Drops what waits and ends the connection.
+    pub fn kill(&self) {
+        self.state.set(State::Dead);
+        self.waiting.borrow_mut().clear();
+        for waker in [self.waker.take(), self.killed.take()].into_iter().flatten() {
+            waker.wake();
+        }
+    }
+
+    /// Ends when the connection is given up.
+    pub async fn killed(&self) {
+        poll_fn(|cx| {
+            if self.state.get() == State::Dead {
+                return Poll::Ready(());
+            }
+            self.killed.set(Some(cx.waker().clone()));
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Writes until there is nothing more to come.
+    pub async fn write_to(&self, stream: &Async<TcpStream>) -> io::Result<()> {
+        loop {
+            if self.written.get() == self.writing.borrow().len() {
+                self.writing.borrow_mut().clear();
+                self.written.set(0);
+                let more = poll_fn(|cx| {
+                    if !self.waiting.borrow().is_empty() {
+                        return Poll::Ready(true);
+                    }
+                    if self.state.get() != State::Open {
+                        return Poll::Ready(false);
+                    }
+                    self.waker.set(Some(cx.waker().clone()));
+                    Poll::Pending
+                })
+                .await;
+                if !more {
+                    return Ok(());
+                }
+                std::mem::swap(&mut *self.waiting.borrow_mut(), &mut *self.writing.borrow_mut());
+                // A connection that was busy once does not keep its memory for ever.
+                if self.waiting.borrow().capacity() > 64 * 1024 {
+                    *self.waiting.borrow_mut() = Vec::new();
+                }
+            }
+            let wrote =
+                stream.write_with(|mut s| s.write(&self.writing.borrow()[self.written.get()..])).await?;
+            if wrote == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            self.written.set(self.written.get() + wrote);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::future;
+
+    #[test]
+    fn a_backlog_beyond_the_limit_ends_the_connection_and_frees_its_memory() {
+        let outbox = Outbox::new(10);
+        outbox.push(|b| b.extend([0; 10]));
+        assert_eq!(outbox.backlog(), 10);
+        outbox.push(|b| b.push(1));
+        assert_eq!(outbox.backlog(), 0);
+        future::block_on(outbox.killed());
+        outbox.push(|b| b.push(1));
+        assert_eq!(outbox.backlog(), 0, "a dead connection takes nothing");
+    }
+}
--- /dev/null
+++ b/crates/fawnrouterd/src/trunk.rs
@@ -0,0 +1,67 @@
+//! A connection to a switch: SIP over TCP (RFC 3261 §18).
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use fawnrouter_engine::Input;
+use fawnrouter_engine::fawnrouter::ServerId;
+use fawnrouter_sip::{Chunk, StreamDecoder};
+use futures_lite::future;
+
+use crate::client::sip_limits;
+use crate::core::Core;
+use crate::outbox::Outbox;
+
+/// Opens the connection and serves it to its end.
+pub async fn drive(core: Rc<Core>, server: ServerId, address: SocketAddr, outbox: Rc<Outbox>) {
+    let limit = Duration::from_millis(core.settings.trunk.connect_ms);
+    let connecting = async { Async::<TcpStream>::connect(address).await.ok() };
+    let connected = future::or(connecting, async {
+        Timer::after(limit).await;
+        None
+    });
+    if let Some(stream) = connected.await
+        && core.is_current(server, &outbox)
+    {
+        let _ = stream.get_ref().set_nodelay(true);
+        core.input(Input::TrunkUp { server });
+        let writing = async {
+            let _ = outbox.write_to(&stream).await;
+        };
+        let reading = read(&core, server, &stream, &outbox);
+        future::or(future::or(reading, writing), outbox.killed()).await;
+    }
+    if core.is_current(server, &outbox) {
+        core.remove_trunk(server);
+        core.input(Input::TrunkDown { server });
+    }
+}
+
+async fn read(core: &Rc<Core>, server: ServerId, stream: &Async<TcpStream>, outbox: &Rc<Outbox>) {
+    let mut decoder = StreamDecoder::new(sip_limits(core));
+    loop {
+        let n = stream.read_with(|mut s| s.read(&mut core.scratch.borrow_mut())).await;
+        let Some(n) = n.ok().filter(|n| *n > 0) else { return };
+        decoder.push(&core.scratch.borrow()[..n]);
+        loop {
+            match decoder.next_chunk() {
+                Ok(None) => break,
+                Ok(Some(Chunk::Ping)) => outbox.push(|out| out.extend_from_slice(b"\r\n")),
+                Ok(Some(Chunk::Message(message))) => {
+                    // The list may have dropped this connection while its bytes were on the way.
+                    if core.is_current(server, outbox) {
+                        core.input(Input::TrunkMessage { server, message });
+                    }
+                }
+                Err(error) => {
+                    tracing::warn!(switch = server.0, "connection closed: {error}");
+                    return;
+                }
+            }
+        }
+        future::yield_now().await;
+    }
+}
