Lab: real gateway processes between stand-ins on loopback, audited; one call end to end

fawnrouter-lab holds stand-in switches with a one-line processor, callers over WebSocket, fault scripts with ten kinds of trouble, gateways as processes, the list with its delay, and taps that feed the auditor.

--- /dev/null
+++ b/crates/fawnrouter-lab/src/baseline.rs
@@ -0,0 +1,69 @@
+//! A baseline for comparison: plain round robin over the switches that the list calls ready, the next one at once
+//! after a failure, and nothing else. It knows no overload, no cold start and no guard.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fawnrouterd::engine::Decide;
+use fawnrouterd::engine::fawnrouter::{
+    Action, CallId, Event, ListKind, NewCall, Outcome, ServerId, ServerState, Time, TimerId,
+};
+
+#[derive(Debug)]
+struct Held {
+    until: Time,
+    attempts: u32,
+}
+
+/// Round robin.
+#[derive(Debug)]
+pub struct RoundRobin {
+    ready: Vec<ServerId>,
+    next: usize,
+    calls: BTreeMap<CallId, Held>,
+    max_attempts: u32,
+}
+
+/// Answers are given this long before the caller's time is up.
+const MARGIN: Duration = Duration::from_millis(300);
+
+impl RoundRobin {
+    /// One that tries a call this often.
+    #[must_use]
+    pub fn new(max_attempts: u32) -> Self {
+        Self { ready: Vec::new(), next: 0, calls: BTreeMap::new(), max_attempts }
+    }
+
+    fn send(&mut self, now: Time, call: CallId, actions: &mut Vec<Action>) {
+        let Some(held) = self.calls.get_mut(&call) else { return };
+        let within = held.until.since(now);
+        if self.ready.is_empty() || held.attempts >= self.max_attempts || within.is_zero() {
+            self.calls.remove(&call);
+            return actions.push(Action::Refuse { call, retry_after: Duration::from_secs(1) });
+        }
+        held.attempts += 1;
+        self.next = (self.next + 1) % self.ready.len();
+        actions.push(Action::Issue { call, server: self.ready[self.next], within });
+    }
+}
+
+impl Decide for RoundRobin {
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::List { kind, entries } if kind != ListKind::Failed => {
+                self.ready = entries.iter().filter(|e| e.state == ServerState::Ready).map(|e| e.id).collect();
+                actions.push(Action::SetTimer { after: Duration::from_secs(3600), timer: TimerId(0) });
+            }
+            Event::Call(NewCall { id, left, .. }) => {
+                let until = now.plus(left.saturating_sub(MARGIN));
+                self.calls.insert(id, Held { until, attempts: 0 });
+                self.send(now, id, actions);
+            }
+            Event::Standing { call, .. } | Event::Lapsed(call) | Event::Closed { call, done: true, .. } => {
+                self.calls.remove(&call);
+            }
+            Event::Closed { call, outcome, .. } if outcome != Outcome::Ended => self.send(now, call, actions),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -0,0 +1,379 @@
+//! Runs a script: gateways as processes, stand-ins in this one, the list, the troubles, the audit.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use fawnrouter_audit::{Figures, Listed, Seen};
+use fawnrouter_config::{SwitchFile, SwitchLine, SwitchState};
+
+use crate::callers::{Callers, Kind};
+use crate::fleet::{GatewayProcess, LIST_REACHES, settings, write_list};
+use crate::plan::{Act, timeline};
+use crate::report::Report;
+use crate::script::{FIRST_SWITCH, Script, SwitchPlan};
+use crate::stand::Stand;
+use crate::switch::Make;
+use crate::tap::Tap;
+
+/// How a day is run.
+#[derive(Clone, Copy, Debug)]
+pub struct DayOptions {
+    /// Seed of the callers and the gateways.
+    pub seed: u64,
+    /// Round robin in place of the decisions.
+    pub baseline: bool,
+    /// A line on standard error each second.
+    pub progress: bool,
+}
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The registry's truth and what it has published of it.
+struct Registry {
+    folder: tempfile::TempDir,
+    truth: BTreeMap<u32, SwitchLine>,
+    published: BTreeMap<u32, SwitchLine>,
+    version: u64,
+    shown: u64,
+    empty: bool,
+    delay: Duration,
+}
+
+/// Everything of a run that the acts change.
+pub struct Lab {
+    script: Script,
+    pub tap: Rc<Tap>,
+    pub executor: Rc<LocalExecutor<'static>>,
+    stands: RefCell<BTreeMap<u32, Rc<Stand>>>,
+    registry: RefCell<Registry>,
+    load: Cell<f64>,
+    pub callers: Rc<Callers>,
+}
+
+/// The auditor's figures for a script.
+pub fn figures(script: &Script) -> Figures {
+    let rules = &script.rules;
+    Figures {
+        // The list is told when the file is written; the gateway's look at it comes on top of the grace.
+        drain_grace: ms(rules.drain_grace_ms),
+        guard: ms(rules.release_guard_ms),
+        fall_multiple: rules.fall_multiple,
+        fall_time: ms(rules.fall_ms),
+        chance: 3.0,
+        slack: ms(100),
+        tolerance: ms(20),
+    }
+}
+
+impl Lab {
+    /// Opens the switches and writes the first list.
+    pub fn open(script: Script, seed: u64, executor: &Rc<LocalExecutor<'static>>) -> io::Result<Rc<Self>> {
+        let tap = Rc::new(Tap::new(figures(&script)));
+        let classes = script.classes.iter();
+        let report = Report::new(
+            classes
+                .map(|c| (c.class.name.clone(), c.class.points, c.class.late_share, ms(c.class.aim_ms)))
+                .collect(),
+        );
+        let kinds = script.classes.iter().map(|c| Kind {
+            name: c.class.name.clone(),
+            share: c.share,
+            hold: ms(c.hold_ms),
+            deadline: ms(c.class.deadline_ms),
+        });
+        let callers = Callers::new(&tap, executor, kinds.collect(), script.callers.clone(), report, seed);
+        let registry = Registry {
+            folder: tempfile::tempdir()?,
+            truth: BTreeMap::new(),
+            published: BTreeMap::new(),
+            version: 0,
+            shown: 0,
+            empty: false,
+            delay: ms(script.list_delay_ms),
+        };
+        let lab = Rc::new(Self {
+            tap,
+            executor: executor.clone(),
+            stands: RefCell::default(),
+            registry: RefCell::new(registry),
+            load: Cell::new(1.0),
+            callers,
+            script,
+        });
+        for (n, plan) in lab.script.switches.clone().iter().enumerate() {
+            let n = n as u32;
+            lab.open_stand(FIRST_SWITCH + n, n, plan, false)?;
+        }
+        lab.publish()?;
+        Ok(lab)
+    }
+
+    fn open_stand(&self, id: u32, pool: u32, plan: &SwitchPlan, cold: bool) -> io::Result<()> {
+        let rules = &self.script.rules;
+        let make = Make {
+            capacity_per_s: plan.capacity_per_s,
+            full_after: ms(plan.full_after_ms),
+            tells_wait: plan.tells_wait,
+            cold_from: rules.cold_from,
+            ramp: ms(rules.cold_ms),
+            fall_multiple: rules.fall_multiple,
+            fall_time: ms(rules.fall_ms),
+            contact: String::new(),
+        };
+        let stand = Stand::open(id, make, cold, &self.tap, &self.executor)?;
+        let line = SwitchLine {
+            id,
+            address: stand.address,
+            zone: plan.zone.clone(),
+            pool,
+            state: SwitchState::Ready,
+            up_since_ms: cold.then(unix_ms),
+        };
+        self.stands.borrow_mut().insert(id, stand);
+        self.registry.borrow_mut().truth.insert(id, line);
+        Ok(())
+    }
+
+    /// Starts all gateways and the callers' connections to them.
+    pub async fn start_gateways(self: &Rc<Self>, options: DayOptions) -> io::Result<Vec<GatewayProcess>> {
+        let folder = self.registry.borrow().folder.path().to_owned();
+        let mut gateways = Vec::new();
+        for number in 0..self.script.gateways {
+            let settings = settings(&self.script, number, options.seed);
+            let folder = folder.clone();
+            let start = move || GatewayProcess::start(&folder, &settings, options.baseline);
+            let gateway = blocking::unblock(start).await?;
+            self.callers.connect(gateway.address, number, self.script.connections).await?;
+            gateways.push(gateway);
+        }
+        // The gateways read the list and open their connections before the first call comes.
+        Timer::after(LIST_REACHES * 2).await;
+        Ok(gateways)
+    }
+
+    /// The truth has changed: the list says so after its delay.
+    fn changed(self: &Rc<Self>) {
+        let (version, delay) = {
+            let mut registry = self.registry.borrow_mut();
+            registry.version += 1;
+            (registry.version, registry.delay)
+        };
+        let (lab, truth) = (self.clone(), self.registry.borrow().truth.clone());
+        let later = async move {
+            Timer::after(delay).await;
+            if let Err(error) = lab.publish_as(version, truth) {
+                eprintln!("the list cannot be written: {error}");
+            }
+        };
+        self.executor.spawn(later).detach();
+    }
+
+    fn publish(&self) -> io::Result<()> {
+        let (version, truth) = {
+            let registry = self.registry.borrow();
+            (registry.version, registry.truth.clone())
+        };
+        self.publish_as(version, truth)
+    }
+
+    /// Writes the list unless a newer one is out, and tells the auditor what it said.
+    fn publish_as(&self, version: u64, truth: BTreeMap<u32, SwitchLine>) -> io::Result<()> {
+        let mut registry = self.registry.borrow_mut();
+        if version < registry.shown {
+            return Ok(());
+        }
+        registry.shown = version;
+        let shown = if registry.empty { BTreeMap::new() } else { truth };
+        for id in registry.published.keys().filter(|id| !shown.contains_key(id)) {
+            self.tap.fact(Seen::Told { switch: *id, listed: Listed::Closed });
+        }
+        for (id, line) in &shown {
+            let ready = line.state == SwitchState::Ready;
+            let listed = if ready { Listed::Ready } else { Listed::Closed };
+            self.tap.fact(Seen::Told { switch: *id, listed });
+        }
+        let list = SwitchFile { switches: shown.values().cloned().collect() };
+        registry.published = shown;
+        write_list(registry.folder.path(), &list)
+    }
+
+    fn act(self: &Rc<Self>, act: Act) -> io::Result<()> {
+        let stand = |id: u32| self.stands.borrow().get(&id).cloned();
+        match act {
+            Act::Load(times) => self.load.set(times),
+            Act::Still(id, span) => {
+                if let Some(stand) = stand(id) {
+                    stand.stand_still(ms(span));
+                }
+            }
+            Act::Slow(id, times) => {
+                if let Some(stand) = stand(id) {
+                    stand.with(|p| p.slow = times);
+                }
+            }
+            Act::Silent(id) => {
+                if let Some(stand) = stand(id) {
+                    stand.with(|p| p.silent = true);
+                }
+                self.registry.borrow_mut().truth.remove(&id);
+                self.changed();
+            }
+            Act::Stop(id) => {
+                if let Some(stand) = stand(id) {
+                    stand.stop();
+                }
+                self.registry.borrow_mut().truth.remove(&id);
+                self.changed();
+            }
+            Act::Start(id) => {
+                let Some(stand) = stand(id) else { return Ok(()) };
+                stand.start_cold()?;
+                let pool = id - FIRST_SWITCH;
+                let plan = &self.script.switches[pool as usize];
+                let line = SwitchLine {
+                    id,
+                    address: stand.address,
+                    zone: plan.zone.clone(),
+                    pool,
+                    state: SwitchState::Ready,
+                    up_since_ms: Some(unix_ms()),
+                };
+                self.registry.borrow_mut().truth.insert(id, line);
+                self.changed();
+            }
+            Act::Drain(id) => {
+                if let Some(line) = self.registry.borrow_mut().truth.get_mut(&id) {
+                    line.state = SwitchState::Draining;
+                }
+                self.changed();
+            }
+            Act::Replace(new, old) => {
+                let pool = old - FIRST_SWITCH;
+                let plan = self.script.switches[pool as usize].clone();
+                self.open_stand(new, pool, &plan, true)?;
+                self.changed();
+            }
+            Act::ListDelay(delay) => self.registry.borrow_mut().delay = ms(delay),
+            Act::EmptyList(empty) => {
+                self.registry.borrow_mut().empty = empty;
+                self.changed();
+            }
+            Act::CrossCancel(id, on) => {
+                if let Some(stand) = stand(id) {
+                    stand.with(|p| p.cross_cancel = on);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Callers call for the script's time.
+    async fn calls(self: Rc<Self>, until: Duration) {
+        let mut at = self.tap.now();
+        let mut broken = at;
+        loop {
+            let gap = -(1.0 - self.callers.unit()).ln() / (self.script.calls_per_s * self.load.get());
+            at += Duration::from_secs_f64(gap);
+            if at >= until {
+                return;
+            }
+            Timer::at(self.tap.instant(at)).await;
+            self.callers.arrive();
+            let pause = ms(self.script.callers.disconnect_ms);
+            if !pause.is_zero() && at.saturating_sub(broken) > pause {
+                broken = at;
+                self.callers.break_one();
+            }
+        }
+    }
+
+    async fn acts(self: Rc<Self>, start: Duration) {
+        for (at, act) in timeline(&self.script) {
+            Timer::at(self.tap.instant(start + ms(at))).await;
+            if let Err(error) = self.act(act) {
+                eprintln!("an act of the script failed: {error}");
+            }
+        }
+    }
+
+    async fn progress(self: Rc<Self>) {
+        loop {
+            Timer::after(ms(1000)).await;
+            let (tries, stood) = self.callers.so_far();
+            eprintln!(
+                "{:>4} s  tries {tries}  stood {stood}  busy {}",
+                self.tap.now().as_secs(),
+                self.callers.busy()
+            );
+        }
+    }
+
+    /// Runs the day to its end.
+    pub async fn run(self: &Rc<Self>, options: DayOptions) -> io::Result<Report> {
+        let mut gateways = self.start_gateways(options).await?;
+        let start = self.tap.now();
+        let mut background = vec![
+            self.executor.spawn(self.callers.clone().run()),
+            self.executor.spawn(self.clone().acts(start)),
+        ];
+        if options.progress {
+            background.push(self.executor.spawn(self.clone().progress()));
+        }
+        self.clone().calls(start + Duration::from_secs(self.script.seconds)).await;
+        // Tries that are out get their time; standing calls then hang up.
+        let patience = Duration::from_secs(self.script.callers.try_s) + ms(1000);
+        let last = self.tap.now() + patience;
+        while self.callers.trying() > 0 && self.tap.now() < last {
+            Timer::after(ms(20)).await;
+        }
+        self.callers.hang_up_all();
+        Timer::after(ms(300)).await;
+        gateways.iter().for_each(GatewayProcess::terminate);
+        let give_up = self.tap.now() + ms(5000);
+        for gateway in &mut gateways {
+            while gateway.ended().is_none() && self.tap.now() < give_up {
+                Timer::after(ms(10)).await;
+            }
+            if gateway.ended() != Some(true) {
+                eprintln!("a gateway did not drain in time");
+            }
+        }
+        let mut report = self.callers.take_report();
+        // Calls are told by the lab's clock; windows by the script's.
+        let shift = u64::try_from(start.as_millis()).unwrap_or(0);
+        for trouble in &self.script.troubles {
+            let (from, to) = trouble.span_ms();
+            let end = (self.script.seconds * 1000).min(to);
+            report.window(trouble.name(), (from + shift, end + shift));
+        }
+        let stands = self.stands.borrow();
+        report.fallen = stands.values().filter(|s| s.fallen()).map(|s| s.id).collect();
+        report.audit = self.tap.finish(figures(&self.script));
+        Ok(report)
+    }
+}
+
+/// Runs a script from start to end.
+///
+/// # Errors
+/// Where a process or a socket cannot be opened.
+pub fn run_day(script: Script, options: DayOptions) -> io::Result<Report> {
+    let executor = Rc::new(LocalExecutor::new());
+    let all = async {
+        let lab = Lab::open(script, options.seed, &executor)?;
+        lab.run(options).await
+    };
+    async_io::block_on(executor.run(all))
+}
--- /dev/null
+++ b/crates/fawnrouter-lab/src/demo.rs
@@ -0,0 +1,57 @@
+//! The demonstration: a gateway process and three stand-in switches on loopback, with calls or held for a client.
+
+use std::io::{self, Write};
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+
+use crate::day::{DayOptions, Lab};
+use crate::fleet::GatewayProcess;
+use crate::report::Report;
+use crate::script::Script;
+
+/// How the demonstration is run.
+#[derive(Clone, Copy, Debug)]
+pub struct DemoOptions {
+    /// Makes no calls and stays until SIGINT.
+    pub hold: bool,
+    /// How long calls are made.
+    pub seconds: u64,
+    /// Seed of the callers and the gateway.
+    pub seed: u64,
+}
+
+const SCRIPT: &str = include_str!("../../../examples/demo-day.yaml");
+
+/// Runs it; `None` after `--hold`.
+///
+/// # Errors
+/// Where a process or a socket cannot be opened.
+pub fn run_demo(options: DemoOptions, stop: impl Future<Output = ()>) -> io::Result<Option<Report>> {
+    let mut script = Script::parse("demo-day.yaml", SCRIPT).map_err(io::Error::other)?;
+    script.seconds = options.seconds.max(1);
+    let executor = Rc::new(LocalExecutor::new());
+    let day = DayOptions { seed: options.seed, baseline: false, progress: true };
+    let all = async {
+        let lab = Lab::open(script, options.seed, &executor)?;
+        if !options.hold {
+            return lab.run(day).await.map(Some);
+        }
+        let mut gateways = lab.start_gateways(day).await?;
+        for gateway in &gateways {
+            println!("{}", gateway.ready);
+        }
+        io::stdout().flush()?;
+        eprintln!("held without calls; connect a client with sub-protocol `sip`, end with SIGINT");
+        stop.await;
+        gateways.iter().for_each(GatewayProcess::terminate);
+        for gateway in &mut gateways {
+            while gateway.ended().is_none() {
+                Timer::after(std::time::Duration::from_millis(10)).await;
+            }
+        }
+        Ok(None)
+    };
+    async_io::block_on(executor.run(all))
+}
--- /dev/null
+++ b/crates/fawnrouter-lab/src/fleet.rs
@@ -0,0 +1,157 @@
+//! Gateways as processes of their own, and the file that lists their switches.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::time::Duration;
+
+use fawnrouter_config::{
+    Calls, Drain, Gateway, Limits, Listen, Log, LogFormat, LogLevel, Settings, SwitchFile, Switches, Trunk,
+    load,
+};
+use fawnrouterd::engine::Engine;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::baseline::RoundRobin;
+use crate::script::{ClassPlan, Script};
+
+/// A gateway process.
+pub struct GatewayProcess {
+    child: Child,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// The line that it printed when it was ready.
+    pub ready: String,
+}
+
+impl GatewayProcess {
+    /// Starts one with these settings and waits until it is ready. `baseline` puts round robin in place of the
+    /// decisions.
+    pub fn start(folder: &Path, settings: &Settings, baseline: bool) -> io::Result<Self> {
+        let file = folder.join(format!("gateway{}.yaml", settings.gateway.number));
+        // JSON is YAML.
+        fs::write(&file, serde_json::to_string_pretty(settings).map_err(io::Error::other)?)?;
+        let mut command = Command::new(std::env::current_exe()?);
+        command.arg("gateway").arg("--config").arg(&file);
+        if baseline {
+            command.arg("--baseline");
+        }
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
+        let mut ready = String::new();
+        if let Some(out) = child.stdout.take() {
+            BufReader::new(out).read_line(&mut ready)?;
+        }
+        let ready = ready.trim().to_owned();
+        let address =
+            ready.strip_prefix("ready ws://").and_then(|r| r.split('/').next()).and_then(|a| a.parse().ok());
+        match address {
+            Some(address) => Ok(Self { child, address, ready }),
+            None => {
+                let _ = child.kill();
+                let _ = child.wait();
+                Err(io::Error::other(format!("the gateway did not start: {ready:?}")))
+            }
+        }
+    }
+
+    /// Asks it to drain.
+    pub fn terminate(&self) {
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+    }
+
+    /// Whether it has ended, and how.
+    pub fn ended(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The process that [`GatewayProcess::start`] starts.
+#[must_use]
+pub fn gateway_main(config: &Path, baseline: bool) -> ExitCode {
+    let settings = match load(config) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    fawnrouterd::start_log(&settings.log);
+    let folder = config.parent().map(PathBuf::from).unwrap_or_default();
+    let ready = |address, path: &str| println!("ready ws://{address}{path}");
+    let ended = fawnrouterd::run_with(settings, folder, ready, |engine| {
+        if !baseline {
+            return Engine::new(engine);
+        }
+        let decide = RoundRobin::new(engine.decisions.limits.max_attempts);
+        Ok(Engine::with(engine, Box::new(decide)))
+    });
+    match ended {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// The settings of one gateway of a script.
+pub fn settings(script: &Script, number: u32, seed: u64) -> Settings {
+    let pools = 0..script.switches.len() as u32;
+    let rule = |plan: &ClassPlan| {
+        let name = plan.class.name.clone();
+        let header = fawnrouter_config::NameValue { name: "X-Class".into(), value: name.clone() };
+        let when = fawnrouter_config::When { header: Some(header), ..Default::default() };
+        fawnrouter_config::ClassRule { when, class: name }
+    };
+    Settings {
+        gateway: Gateway {
+            number,
+            count: script.gateways,
+            host: format!("gw{number}.invalid"),
+            seed: Some(seed.wrapping_mul(1000).wrapping_add(u64::from(number))),
+        },
+        listen: Listen {
+            address: ([127, 0, 0, 1], 0).into(),
+            path: "/".into(),
+            origins: Vec::new(),
+            handshake_ms: 5000,
+            ping_ms: 30_000,
+        },
+        switches: Switches { file: "switches.yaml".into(), poll_ms: 50 },
+        classes: script.classes.iter().map(|c| c.class.clone()).collect(),
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        calls: Calls {
+            class: script.classes.iter().map(rule).collect(),
+            spread: pools.collect(),
+            ..Calls::default()
+        },
+        rules: script.rules.clone(),
+        limits: Limits::default(),
+        trunk: Trunk::default(),
+        log: Log { format: LogFormat::Text, level: LogLevel::Warn },
+        drain: Drain { time_ms: 3000 },
+    }
+}
+
+/// Replaces the list as a whole.
+pub fn write_list(folder: &Path, list: &SwitchFile) -> io::Result<()> {
+    let fresh = folder.join("switches.new");
+    fs::write(&fresh, serde_json::to_string(list).map_err(io::Error::other)?)?;
+    fs::rename(fresh, folder.join("switches.yaml"))
+}
+
+/// How long a list may take to reach a gateway: its look at the file, and the reading.
+pub const LIST_REACHES: Duration = Duration::from_millis(150);
--- /dev/null
+++ b/crates/fawnrouter-lab/src/lib.rs
@@ -0,0 +1,24 @@
+#![forbid(unsafe_code)]
+//! The lab: real gateway processes on loopback sockets between stand-in callers and stand-in core switches, a fault
+//! script on a time line, and taps that feed the auditor. Stand-ins only: figures from here are not those of real
+//! switches.
+
+mod baseline;
+mod callers;
+mod day;
+mod demo;
+mod fleet;
+mod plan;
+mod report;
+mod script;
+mod stand;
+mod switch;
+mod tap;
+
+pub use baseline::RoundRobin;
+pub use day::{DayOptions, run_day};
+pub use demo::{DemoOptions, run_demo};
+pub use fleet::gateway_main;
+pub use report::{ClassReport, Report, WindowReport};
+pub use script::{Script, Trouble};
+pub use switch::{Make, Processor, Step};
--- /dev/null
+++ b/crates/fawnrouter-lab/src/main.rs
@@ -0,0 +1,105 @@
+#![forbid(unsafe_code)]
+//! `fawnrouter-lab`: the demonstration, scripted days, and the gateway process that both start.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use async_signal::{Signal, Signals};
+use clap::{Parser, Subcommand};
+use fawnrouter_lab::{DayOptions, DemoOptions, Script, gateway_main, run_day, run_demo};
+use futures_lite::StreamExt;
+
+/// Tries the gateway on loopback sockets between stand-ins, with the five rules audited from the traffic.
+#[derive(Debug, Parser)]
+#[command(name = "fawnrouter-lab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// One gateway, three stand-in switches, real calls, a summary. Exits 0 if the audit is clean.
+    Demo {
+        /// Start without calls and stay until SIGINT, for a client of your own.
+        #[arg(long)]
+        hold: bool,
+        /// How long calls are made.
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+        /// Seed of callers and gateway.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// A scripted day. Exits 1 if a rule broke.
+    Day {
+        /// The script, YAML.
+        script: PathBuf,
+        /// Seed of callers and gateways.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Plain round robin in place of the decisions.
+        #[arg(long)]
+        baseline: bool,
+        /// No line each second.
+        #[arg(long)]
+        quiet: bool,
+    },
+    /// A gateway process, as the other commands start it.
+    #[command(hide = true)]
+    Gateway {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        baseline: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Gateway { config, baseline } => gateway_main(&config, baseline),
+        Command::Demo { hold, seconds, seed } => {
+            let mut signals = match Signals::new([Signal::Int, Signal::Term]) {
+                Ok(signals) => signals,
+                Err(error) => return failed(&error),
+            };
+            let stop = async move {
+                signals.next().await;
+            };
+            match run_demo(DemoOptions { hold, seconds, seed }, stop) {
+                Ok(None) => ExitCode::SUCCESS,
+                Ok(Some(report)) => {
+                    print!("{report}");
+                    if report.clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+                }
+                Err(error) => failed(&error),
+            }
+        }
+        Command::Day { script, seed, baseline, quiet } => {
+            let name = script.display().to_string();
+            let text = match std::fs::read_to_string(&script) {
+                Ok(text) => text,
+                Err(error) => return failed(&format!("{name}: cannot be read: {error}")),
+            };
+            let script = match Script::parse(&name, &text) {
+                Ok(script) => script,
+                Err(error) => {
+                    eprintln!("{error}");
+                    return ExitCode::from(2);
+                }
+            };
+            match run_day(script, DayOptions { seed, baseline, progress: !quiet }) {
+                Ok(report) => {
+                    print!("{report}");
+                    if report.clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+                }
+                Err(error) => failed(&error),
+            }
+        }
+    }
+}
+
+fn failed(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/fawnrouter-lab/src/report.rs
@@ -0,0 +1,239 @@
+//! What came of a day, by class and by trouble.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use fawnrouter_audit::Verdict;
+use hdrhistogram::Histogram;
+
+/// How a caller's call ended, its further tries included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It stood to its end; the time from the first try on.
+    Stood(Duration),
+    /// It stood and was cut.
+    Cut,
+    /// The last try was refused (503, 486).
+    Refused,
+    /// The last try failed otherwise.
+    Failed,
+    /// The caller left.
+    Left,
+}
+
+/// Figures of a class.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ClassReport {
+    /// Its name.
+    pub name: String,
+    /// First tries, but for callers that left.
+    pub offered: u64,
+    /// Calls that stood within the aim.
+    pub in_aim: u64,
+    /// Calls that stood later.
+    pub late: u64,
+    /// Cut calls.
+    pub cut: u64,
+    /// Refused ones.
+    pub refused: u64,
+    /// Failed ones.
+    pub failed: u64,
+    /// Worth offered and got.
+    pub worth: (f64, f64),
+}
+
+impl ClassReport {
+    /// Worth got over worth offered.
+    #[must_use]
+    pub fn service(&self) -> f64 {
+        if self.worth.0 > 0.0 { self.worth.1 / self.worth.0 } else { 1.0 }
+    }
+}
+
+/// Service while something went wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WindowReport {
+    /// The trouble's name.
+    pub name: &'static str,
+    /// From and to, seconds.
+    pub span_s: (u64, u64),
+    /// Worth got over worth offered, of calls first tried then.
+    pub service: f64,
+}
+
+/// All figures of a run.
+#[derive(Debug)]
+pub struct Report {
+    /// By class.
+    pub classes: Vec<ClassReport>,
+    /// Callers that left, by CANCEL or with their connection.
+    pub left: u64,
+    /// Tries, redials included.
+    pub tries: u64,
+    /// Tries that stood: time from the INVITE to the 200, microseconds.
+    pub set_up: Histogram<u64>,
+    /// Tries that got no final answer in time, as callers saw it.
+    pub unanswered: u64,
+    /// By trouble.
+    pub windows: Vec<WindowReport>,
+    /// Stand-ins that were pushed over while cold.
+    pub fallen: Vec<u32>,
+    /// The auditor's verdict.
+    pub audit: Verdict,
+    seconds: BTreeMap<u64, (f64, f64)>,
+    points: Vec<(f64, f64, Duration)>,
+}
+
+impl Report {
+    /// An empty report of classes by name, points, late share and aim.
+    #[must_use]
+    pub fn new(classes: Vec<(String, f64, f64, Duration)>) -> Self {
+        let points = classes.iter().map(|c| (c.1, c.2, c.3)).collect();
+        let set_up = Histogram::new(3).expect("three digits are within the library's bounds");
+        let classes = classes.into_iter().map(|c| ClassReport { name: c.0, ..ClassReport::default() });
+        Self {
+            classes: classes.collect(),
+            left: 0,
+            tries: 0,
+            // From a microsecond to ten minutes, to three digits.
+            set_up,
+            unanswered: 0,
+            windows: Vec::new(),
+            fallen: Vec::new(),
+            audit: Verdict::default(),
+            seconds: BTreeMap::new(),
+            points,
+        }
+    }
+
+    /// Counts a call, with when it was first tried.
+    pub fn count(&mut self, class: usize, first: Duration, end: End) {
+        if end == End::Left {
+            self.left += 1;
+            return;
+        }
+        let (Some(report), Some((points, late_share, aim))) =
+            (self.classes.get_mut(class), self.points.get(class))
+        else {
+            return;
+        };
+        report.offered += 1;
+        let got = match end {
+            End::Stood(after) if after <= *aim => {
+                report.in_aim += 1;
+                *points
+            }
+            End::Stood(_) => {
+                report.late += 1;
+                points * late_share
+            }
+            End::Cut => {
+                report.cut += 1;
+                0.0
+            }
+            End::Refused => {
+                report.refused += 1;
+                0.0
+            }
+            End::Failed | End::Left => {
+                report.failed += 1;
+                0.0
+            }
+        };
+        report.worth.0 += points;
+        report.worth.1 += got;
+        let second = self.seconds.entry(first.as_secs()).or_default();
+        second.0 += points;
+        second.1 += got;
+    }
+
+    /// Adds the service in a span.
+    pub fn window(&mut self, name: &'static str, (from_ms, to_ms): (u64, u64)) {
+        let span_s = (from_ms / 1000, to_ms.div_ceil(1000));
+        let sum = self.seconds.range(span_s.0..span_s.1).fold((0.0, 0.0), |a, (_, w)| (a.0 + w.0, a.1 + w.1));
+        let service = if sum.0 > 0.0 { sum.1 / sum.0 } else { 1.0 };
+        self.windows.push(WindowReport { name, span_s, service });
+    }
+
+    /// Worth got over worth offered, of all classes.
+    #[must_use]
+    pub fn service(&self) -> f64 {
+        let sum = self.classes.iter().fold((0.0, 0.0), |a, c| (a.0 + c.worth.0, a.1 + c.worth.1));
+        if sum.0 > 0.0 { sum.1 / sum.0 } else { 1.0 }
+    }
+
+    /// Set-up delay at a quantile, milliseconds.
+    #[must_use]
+    pub fn set_up_ms(&self, quantile: f64) -> f64 {
+        self.set_up.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// No rule broke and every try was answered.
+    #[must_use]
+    pub fn clean(&self) -> bool {
+        self.audit.clean() && self.fallen.is_empty()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sum = |get: fn(&ClassReport) -> u64| self.classes.iter().map(get).sum::<u64>();
+        writeln!(f, "calls offered      {}", sum(|c| c.offered) + self.left)?;
+        writeln!(f, "calls stood        {}", sum(|c| c.in_aim + c.late))?;
+        writeln!(f, "calls refused      {}", sum(|c| c.refused))?;
+        writeln!(f, "calls failed       {} (of these cut {})", sum(|c| c.failed + c.cut), sum(|c| c.cut))?;
+        writeln!(f, "callers that left  {}", self.left)?;
+        writeln!(f, "tries              {} ({} without an answer)", self.tries, self.unanswered)?;
+        writeln!(
+            f,
+            "set-up delay       p50 {:.1} ms, p99 {:.1} ms",
+            self.set_up_ms(0.5),
+            self.set_up_ms(0.99)
+        )?;
+        writeln!(f, "service            {:.3}", self.service())?;
+        for c in &self.classes {
+            writeln!(
+                f,
+                "  class {:<18} {:.3}  offered {} in aim {} late {} refused {} failed {} cut {}",
+                c.name,
+                c.service(),
+                c.offered,
+                c.in_aim,
+                c.late,
+                c.refused,
+                c.failed,
+                c.cut
+            )?;
+        }
+        for w in &self.windows {
+            writeln!(
+                f,
+                "  during {:<17} {:.3}  from {} s to {} s",
+                w.name, w.service, w.span_s.0, w.span_s.1
+            )?;
+        }
+        for id in &self.fallen {
+            writeln!(f, "stand-in {id} was pushed over while cold")?;
+        }
+        for breach in self.audit.breaches.iter().take(20) {
+            writeln!(f, "BROKEN {breach}")?;
+        }
+        let word = if self.audit.clean() { "clean" } else { "BROKEN" };
+        let broken: Vec<String> =
+            self.audit.counts.iter().map(|(r, n)| format!("rule {}: {n}", *r as u8)).collect();
+        let open = self.audit.open;
+        write!(
+            f,
+            "audit              {word}: {} calls, {} set-ups seen",
+            self.audit.calls, self.audit.attempts
+        )?;
+        if open > 0 {
+            write!(f, ", {open} calls not over")?;
+        }
+        if !broken.is_empty() {
+            write!(f, "; {}", broken.join(", "))?;
+        }
+        writeln!(f)
+    }
+}
