--- a/crates/fawnrouter-audit/src/judge.rs
+++ b/crates/fawnrouter-audit/src/judge.rs
@@ -323,10 +323,17 @@
                         ));
                     }
                 }
-                _ => found.push((
-                    Rule::OneAttempt,
-                    format!("call {session} was sent to switch {switch} while another attempt was out"),
-                )),
+                _ => {
+                    let text = format!(
+                        "call {session} was sent to switch {switch} while another attempt was out: sent {:.3} s on \
+                         connection {}, within {:?}, ended {:?}",
+                        earlier.sent.as_secs_f64(),
+                        earlier.conn,
+                        earlier.within,
+                        earlier.ended,
+                    );
+                    found.push((Rule::OneAttempt, text));
+                }
             }
         }
         for (rule, text) in found {
--- a/crates/fawnrouter-lab/src/callers.rs
+++ b/crates/fawnrouter-lab/src/callers.rs
@@ -70,6 +70,8 @@
     next: u64,
     rng: StdRng,
     report: Report,
+    /// The day is over: nobody dials again.
+    closing: bool,
 }
 
 /// All callers of a run.
@@ -98,6 +100,7 @@
             next: 0,
             rng: StdRng::seed_from_u64(seed),
             report,
+            closing: false,
         };
         let crowd = RefCell::new(crowd);
         Rc::new(Self { tap: tap.clone(), kinds, habits, crowd, executor: executor.clone() })
@@ -280,7 +283,7 @@
         let at = now + wait.unwrap_or_default().max(pause);
         let too_late = at.saturating_sub(person.first) >= self.kinds[person.class].deadline;
         person.state = State::Waiting;
-        if person.tries > self.habits.redials || too_late {
+        if person.tries > self.habits.redials || too_late || crowd.closing {
             self.over(crowd, id, end);
         } else {
             crowd.due.insert((at, Due::Try(id)));
@@ -441,7 +444,18 @@
         self.crowd.borrow().people.values().filter(|p| matches!(p.state, State::Trying { .. })).count()
     }
 
-    /// Ends the day: standing calls hang up, and nobody dials again.
+    /// The day is over: nobody dials again, and those who wait to do so have been refused.
+    pub fn close(&self) {
+        let crowd = &mut *self.crowd.borrow_mut();
+        crowd.closing = true;
+        let waiting = |p: &Person| matches!(p.state, State::Waiting);
+        let rest: Vec<u64> = crowd.people.iter().filter(|(_, p)| waiting(p)).map(|(id, _)| *id).collect();
+        for id in rest {
+            self.over(crowd, id, End::Refused);
+        }
+    }
+
+    /// Standing calls hang up.
     pub fn hang_up_all(&self) {
         let now = self.tap.now();
         let crowd = &mut *self.crowd.borrow_mut();
@@ -451,11 +465,6 @@
                 crowd.due.insert((now, Due::HangUp(*id)));
             }
         }
-        let waiting = |p: &Person| matches!(p.state, State::Waiting);
-        let rest: Vec<u64> = crowd.people.iter().filter(|(_, p)| waiting(p)).map(|(id, _)| *id).collect();
-        for id in rest {
-            self.over(crowd, id, End::Refused);
-        }
     }
 
     /// People whose calls are not over.
--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -209,7 +209,7 @@
         write_list(registry.folder.path(), &list)
     }
 
-    fn act(self: &Rc<Self>, act: Act) -> io::Result<()> {
+    async fn act(self: &Rc<Self>, act: Act) -> io::Result<()> {
         let stand = |id: u32| self.stands.borrow().get(&id).cloned();
         match act {
             Act::Load(times) => self.load.set(times),
@@ -239,7 +239,7 @@
             }
             Act::Start(id) => {
                 let Some(stand) = stand(id) else { return Ok(()) };
-                stand.start_cold()?;
+                stand.start_cold().await?;
                 let pool = id - FIRST_SWITCH;
                 let plan = &self.script.switches[pool as usize];
                 let line = SwitchLine {
@@ -302,7 +302,7 @@
     async fn acts(self: Rc<Self>, start: Duration) {
         for (at, act) in timeline(&self.script) {
             Timer::at(self.tap.instant(start + ms(at))).await;
-            if let Err(error) = self.act(act) {
+            if let Err(error) = self.act(act).await {
                 eprintln!("an act of the script failed: {error}");
             }
         }
@@ -332,6 +332,7 @@
             background.push(self.executor.spawn(self.clone().progress()));
         }
         self.clone().calls(start + Duration::from_secs(self.script.seconds)).await;
+        self.callers.close();
         // Tries that are out get their time; standing calls then hang up.
         let patience = Duration::from_secs(self.script.callers.try_s) + ms(1000);
         let last = self.tap.now() + patience;
--- a/crates/fawnrouter-lab/src/stand.rs
+++ b/crates/fawnrouter-lab/src/stand.rs
@@ -91,7 +91,12 @@
     }
 
     /// Starts again, cold, on the same port.
-    pub fn start_cold(self: &Rc<Self>) -> io::Result<()> {
+    pub async fn start_cold(self: &Rc<Self>) -> io::Result<()> {
+        let accepting = self.accepting.borrow_mut().take();
+        if let Some(task) = accepting {
+            // The old listener must be closed before the port is free.
+            task.cancel().await;
+        }
         self.stop();
         let listener = Async::<TcpListener>::bind(self.address)?;
         *self.processor.borrow_mut() = Processor::new(self.make.clone(), Some(self.tap.now()));
--- a/crates/fawnrouterd/src/core.rs
+++ b/crates/fawnrouterd/src/core.rs
@@ -190,6 +190,11 @@
         .await;
     }
 
+    /// Calls held, out or standing.
+    pub fn live_calls(&self) -> usize {
+        self.state.borrow().engine.live_calls()
+    }
+
     /// Client connections that are open.
     pub fn clients(&self) -> usize {
         self.state.borrow().clients.len()
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -111,7 +111,7 @@
                     },
                 );
                 let why = cut.await;
-                tracing::warn!("{why}: calls that are left are ended");
+                tracing::warn!(left = core.live_calls(), "{why}: calls that are left are ended");
                 core.input(Input::Stop);
                 why != "second signal"
             },
