--- a/crates/fawnrouter-audit/src/lib.rs
+++ b/crates/fawnrouter-audit/src/lib.rs
@@ -64,6 +64,8 @@
         way: Way,
         /// The bytes.
         bytes: Vec<u8>,
+        /// They may have arrived up to this much earlier: the tap itself was held up.
+        late: Duration,
     },
     /// It was closed.
     Closed {
--- a/crates/fawnrouter-lab/src/fleet.rs
+++ b/crates/fawnrouter-lab/src/fleet.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks it to drain.
     pub fn terminate(&self) {
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
@@ -76,7 +81,7 @@
     }
 }
 
-/// The process that [`GatewayProcess::start`] starts.
+/// The gateway process that days and the demonstration start.
 #[must_use]
 pub fn gateway_main(config: &Path, baseline: bool) -> ExitCode {
     let settings = match load(config) {
@@ -147,8 +152,8 @@
 }
 
 /// Replaces the list as a whole.
-pub fn write_list(folder: &Path, list: &SwitchFile) -> io::Result<()> {
-    let fresh = folder.join("switches.new");
+pub fn write_list(folder: &Path, version: u64, list: &SwitchFile) -> io::Result<()> {
+    let fresh = folder.join(format!("switches.{version}"));
     fs::write(&fresh, serde_json::to_string(list).map_err(io::Error::other)?)?;
     fs::rename(fresh, folder.join("switches.yaml"))
 }
--- a/crates/fawnrouter-lab/src/main.rs
+++ b/crates/fawnrouter-lab/src/main.rs
@@ -6,7 +6,10 @@
 
 use async_signal::{Signal, Signals};
 use clap::{Parser, Subcommand};
-use fawnrouter_lab::{DayOptions, DemoOptions, Script, gateway_main, run_day, run_demo};
+use fawnrouter_lab::{
+    DayOptions, DemoOptions, LoadOptions, Script, gateway_main, relay_main, run_day, run_demo, run_load,
+    run_memory,
+};
 use futures_lite::StreamExt;
 
 /// Tries the gateway on loopback sockets between stand-ins, with the five rules audited from the traffic.
@@ -45,6 +48,36 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Processor time a call and added delay of one gateway beside a null relay, in one run.
+    Load {
+        /// Calls a second.
+        #[arg(long, default_value_t = 1000)]
+        rate: u32,
+        /// For how long.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Connections of callers.
+        #[arg(long, default_value_t = 16)]
+        connections: usize,
+        /// The far end answers after this time.
+        #[arg(long, default_value_t = 20)]
+        answer_ms: u64,
+    },
+    /// Resident memory of a gateway with idle connections and standing calls.
+    Memory {
+        /// Idle connections.
+        #[arg(long, default_value_t = 1000)]
+        connections: usize,
+        /// Standing calls.
+        #[arg(long, default_value_t = 10_000)]
+        calls: u64,
+    },
+    /// The null relay's process.
+    #[command(hide = true)]
+    Relay {
+        #[arg(long)]
+        far: std::net::SocketAddr,
+    },
     /// A gateway process, as the other commands start it.
     #[command(hide = true)]
     Gateway {
@@ -58,6 +91,17 @@
 fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Gateway { config, baseline } => gateway_main(&config, baseline),
+        Command::Relay { far } => relay_main(far),
+        Command::Load { rate, seconds, connections, answer_ms } => {
+            match run_load(LoadOptions { rate, seconds, connections, answer_ms }) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => failed(&error),
+            }
+        }
+        Command::Memory { connections, calls } => match run_memory(connections, calls) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => failed(&error),
+        },
         Command::Demo { hold, seconds, seed } => {
             let mut signals = match Signals::new([Signal::Int, Signal::Term]) {
                 Ok(signals) => signals,
--- a/crates/fawnrouter-lab/src/report.rs
+++ b/crates/fawnrouter-lab/src/report.rs
@@ -231,6 +231,9 @@
         if open > 0 {
             write!(f, ", {open} calls not over")?;
         }
+        if self.audit.latest.as_millis() > 20 {
+            write!(f, ", taps held up for {} ms at the most", self.audit.latest.as_millis())?;
+        }
         if !broken.is_empty() {
             write!(f, "; {}", broken.join(", "))?;
         }
--- a/crates/fawnrouter-ws/src/frame.rs
+++ b/crates/fawnrouter-ws/src/frame.rs
@@ -169,9 +169,14 @@
     /// Takes bytes from the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         if self.read == self.buffer.len() {
+            if self.buffer.capacity() > KEPT && bytes.len() <= KEPT / 4 {
+                self.buffer = Vec::new();
+            }
             self.buffer.clear();
             self.read = 0;
-        } else if self.read > 0 {
+        } else if self.read >= self.buffer.len() / 2 {
+            // What is left moves to the front only when that costs less than what was read: it may be most of a large
+            // frame.
             self.buffer.drain(..self.read);
             self.read = 0;
         }
@@ -306,15 +311,17 @@
     }
 }
 
+/// An empty buffer larger than this is given back: an idle connection holds little.
+const KEPT: usize = 16 * 1024;
+
 fn apply_mask(payload: &mut [u8], mask: [u8; 4]) {
-    let [a, b, c, d] = mask;
-    let wide = u64::from_ne_bytes([a, b, c, d, a, b, c, d]);
-    let mut chunks = payload.chunks_exact_mut(8);
+    // Sixteen bytes at a time, which compilers turn into vector instructions.
+    let wide = u128::from_ne_bytes(std::array::from_fn(|n| mask[n % 4]));
+    let mut chunks = payload.chunks_exact_mut(16);
     for chunk in &mut chunks {
-        let word = u64::from_ne_bytes([
-            chunk[0], chunk[1], chunk[2], chunk[3], chunk[4], chunk[5], chunk[6], chunk[7],
-        ]);
-        chunk.copy_from_slice(&(word ^ wide).to_ne_bytes());
+        if let Ok(word) = <[u8; 16]>::try_from(&*chunk) {
+            chunk.copy_from_slice(&(u128::from_ne_bytes(word) ^ wide).to_ne_bytes());
+        }
     }
     for (byte, key) in chunks.into_remainder().iter_mut().zip(mask.into_iter().cycle()) {
         *byte ^= key;
--- /dev/null
+++ b/crates/fawnrouterd/tests/cli.rs
@@ -0,0 +1,36 @@
+//! The command line: exit codes and what is said.
+
+use std::process::{Command, Output};
+
+fn fawnrouter(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_fawnrouter")).args(args).output().expect("the program runs")
+}
+
+fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[test]
+fn check_finds_the_example_sound() {
+    let out = fawnrouter(&["check", "--config", &example("gateway.yaml")]);
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    assert!(String::from_utf8_lossy(&out.stdout).contains("2 switches listed"));
+}
+
+#[test]
+fn check_tells_file_line_field_and_remedy_and_exits_with_2() {
+    let out = fawnrouter(&["check", "--config", &example("switches.yaml")]);
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(out.status.code(), Some(2));
+    assert!(text.contains("switches.yaml:") && text.contains("gateway is missing; add it"), "{text}");
+    let out = fawnrouter(&["run", "--config", "/nowhere/g.yaml"]);
+    assert_eq!(out.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("cannot be read"));
+}
+
+#[test]
+fn schema_prints_a_schema() {
+    let out = fawnrouter(&["schema"]);
+    let schema: serde_json::Value = serde_json::from_slice(&out.stdout).expect("JSON");
+    assert!(schema["properties"]["listen"].is_object());
+}
