--- a/benches/codecs/src/main.rs
+++ b/benches/codecs/src/main.rs
@@ -113,8 +113,8 @@
                         let mut seen = 0;
                         // As a socket gives them: 16 KiB at a time.
                         for part in black_box(&masked).chunks(16 * 1024) {
-                            decoder.push(part);
-                            while let Ok(Some(Event::Text(text))) = decoder.next_event() {
+                            let mut part = part;
+                            while let Ok(Some(Event::Text(text))) = decoder.feed(&mut part) {
                                 seen += usize::from(text.len() == size);
                             }
                         }
--- a/crates/fawnrouter-lab/src/callers.rs
+++ b/crates/fawnrouter-lab/src/callers.rs
@@ -162,14 +162,17 @@
     ) {
         let reading = async {
             let mut decoder = Decoder::new(Role::Client, 256 * 1024);
-            decoder.push(&rest);
             let mut buffer = vec![0; 64 * 1024];
+            let mut got = rest.len();
+            buffer[..got].copy_from_slice(&rest);
             loop {
-                let mut messages = Vec::new();
+                let mut input = &buffer[..got];
                 loop {
-                    match decoder.next_event() {
+                    match decoder.feed(&mut input) {
                         Ok(Some(Event::Text(text))) => {
-                            messages.extend(Message::parse(text.as_bytes(), &Limits::default()).ok());
+                            if let Ok(message) = Message::parse(text.as_bytes(), &Limits::default()) {
+                                self.take(line, message);
+                            }
                         }
                         Ok(Some(Event::Ping(payload))) => {
                             let mut bytes = Vec::new();
@@ -181,11 +184,10 @@
                         Ok(None) => break,
                     }
                 }
-                messages.into_iter().for_each(|m| self.take(line, m));
                 match stream.read_with(|mut s| s.read(&mut buffer)).await {
                     Ok(n @ 1..) => {
                         self.tap.bytes(conn, Way::Out, &buffer[..n]);
-                        decoder.push(&buffer[..n]);
+                        got = n;
                     }
                     _ => return,
                 }
--- a/crates/fawnrouter-lab/src/load.rs
+++ b/crates/fawnrouter-lab/src/load.rs
@@ -130,8 +130,8 @@
                     continue;
                 }
                 if self.web_socket {
-                    frames.push(&buffer[..n]);
-                    while let Ok(Some(Event::Text(text))) = frames.next_event() {
+                    let mut input = &buffer[..n];
+                    while let Ok(Some(Event::Text(text))) = frames.feed(&mut input) {
                         if let Ok(message) = Message::parse(text.as_bytes(), &Limits::default()) {
                             self.answer(&outbox, message);
                         }
@@ -290,8 +290,8 @@
                 let mut frames = Decoder::new(Role::Client, 1 << 20);
                 let mut buffer = vec![0; 64 * 1024];
                 while let Ok(got @ 1..) = stream.read_with(|mut s| s.read(&mut buffer)).await {
-                    frames.push(&buffer[..got]);
-                    while let Ok(Some(event)) = frames.next_event() {
+                    let mut input = &buffer[..got];
+                    while let Ok(Some(event)) = frames.feed(&mut input) {
                         if let Event::Text(text) = event
                             && let Ok(message) = Message::parse(text.as_bytes(), &Limits::default())
                         {
@@ -461,8 +461,8 @@
                 let mut frames = Decoder::new(Role::Client, 1 << 20);
                 let mut buffer = vec![0; 64 * 1024];
                 while let Ok(got @ 1..) = stream.read_with(|mut s| s.read(&mut buffer)).await {
-                    frames.push(&buffer[..got]);
-                    while let Ok(Some(event)) = frames.next_event() {
+                    let mut input = &buffer[..got];
+                    while let Ok(Some(event)) = frames.feed(&mut input) {
                         let Event::Text(text) = event else { continue };
                         let Ok(message) = Message::parse(text.as_bytes(), &Limits::default()) else {
                             continue;
--- a/crates/fawnrouter-lab/tests/sockets.rs
+++ b/crates/fawnrouter-lab/tests/sockets.rs
@@ -33,7 +33,8 @@
             "gateway: {{ number: 0, count: 1, seed: 3 }}\nlisten: {{ address: '127.0.0.1:0', handshake_ms: 700 }}\n\
              switches: {{ file: switches.yaml, poll_ms: 20 }}\n\
              classes: [{{ name: check, aim_ms: 2000, deadline_ms: 9000 }}]\ncalls: {{ spread: [0] }}\n\
-             log: {{ level: error }}\ndrain: {{ time_ms: 20000 }}\n{more}"
+             drain: {{ time_ms: 20000 }}\n{more}\n{}",
+            if more.contains("log:") { "" } else { "log: { level: error }" }
         );
         let file = folder.path().join("g.yaml");
         std::fs::write(&file, settings).expect("settings are written");
@@ -41,6 +42,7 @@
             .args(["gateway", "--config"])
             .arg(&file)
             .stdout(Stdio::piped())
+            .stderr(if more.contains("json") { Stdio::piped() } else { Stdio::inherit() })
             .spawn()
             .expect("the gateway starts");
         let mut line = String::new();
@@ -74,6 +76,8 @@
 struct Client {
     stream: TcpStream,
     decoder: Decoder,
+    /// Bytes that were read and not looked at yet.
+    held: Vec<u8>,
 }
 
 #[derive(Debug, PartialEq)]
@@ -96,7 +100,7 @@
             stream.read_exact(&mut byte).expect("an answer");
             bytes.push(byte[0]);
             if shake.check(&bytes, &HttpLimits::default()).expect("an upgrade").is_some() {
-                return Self { stream, decoder: Decoder::new(Role::Client, 1 << 20) };
+                return Self { stream, decoder: Decoder::new(Role::Client, 1 << 20), held: Vec::new() };
             }
         }
     }
@@ -109,17 +113,24 @@
 
     fn next(&mut self) -> Got {
         loop {
-            match self.decoder.next_event().expect("sound frames") {
-                Some(Event::Text(text)) => return Got::Sip(parse(text.as_bytes())),
-                Some(Event::Pong(p)) => return Got::Pong(p.to_vec()),
-                Some(Event::Close(code)) => return Got::Close(code),
-                Some(_) => continue,
-                None => {}
+            let mut input = &self.held[..];
+            let got = match self.decoder.feed(&mut input).expect("sound frames") {
+                Some(Event::Text(text)) => Some(Got::Sip(parse(text.as_bytes()))),
+                Some(Event::Pong(p)) => Some(Got::Pong(p.to_vec())),
+                Some(Event::Close(code)) => Some(Got::Close(code)),
+                _ => None,
+            };
+            self.held = input.to_vec();
+            if let Some(got) = got {
+                return got;
+            }
+            if !self.held.is_empty() {
+                continue;
             }
             let mut buffer = [0; 65536];
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Got::End,
-                Ok(n) => self.decoder.push(&buffer[..n]),
+                Ok(n) => self.held.extend_from_slice(&buffer[..n]),
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return Got::End,
                 Err(e) => panic!("nothing came in time: {e}"),
             }
@@ -405,6 +416,26 @@
     assert_eq!(idle.child.wait().expect("an end").code(), Some(0));
 }
 
+#[test]
+fn a_call_is_followed_in_the_log_by_its_call_id() {
+    let (address, _told) = switch(ok_for_all);
+    let mut gateway = Gateway::start(&[address], "log: { format: json, level: debug }");
+    let mut client = Client::connect(&gateway);
+    client.send(&request(Method::Invite, 7));
+    assert_eq!(client.last_status(), 200);
+    drop(client);
+    gateway.signal(Signal::TERM);
+    assert!(gateway.child.wait().expect("an end").success());
+    let log = BufReader::new(gateway.child.stderr.take().expect("piped"));
+    let lines =
+        log.lines().map(|l| serde_json::from_str::<serde_json::Value>(&l.expect("text")).expect("JSON"));
+    let of_call = lines
+        .filter(|l| l["span"]["call_id"] == "t7")
+        .map(|l| l["message"].as_str().unwrap_or("").to_owned());
+    let words: Vec<String> = of_call.collect();
+    assert_eq!(words, ["taken", "set-up sent", "answered", "released"]);
+}
+
 fn lab(args: &[&str]) -> Output {
     Command::new(LAB).args(args).output().expect("the lab runs")
 }
--- a/crates/fawnrouter-ws/src/frame.rs
+++ b/crates/fawnrouter-ws/src/frame.rs
@@ -137,146 +137,202 @@
     Close(Option<CloseCode>),
 }
 
-/// Cuts a stream into messages. Holds one message at the most, within the limit.
+/// The longest header: two bytes, eight of length, four of mask.
+const HEADER: usize = 14;
+/// A message buffer larger than this is given back once it is empty: an idle connection holds little.
+const KEPT: usize = 16 * 1024;
+
+/// A frame whose payload is coming in.
+#[derive(Clone, Copy, Debug)]
+struct Frame {
+    fin: bool,
+    opcode: Opcode,
+    mask: [u8; 4],
+    /// Bytes of the payload so far.
+    seen: usize,
+    len: usize,
+}
+
+/// Cuts a stream into messages. It holds one message and one control frame at the most, within the limit, and copies
+/// each byte once, taking the mask off on the way.
 #[derive(Debug)]
 pub struct Decoder {
     role: Role,
     limit: usize,
-    buffer: Vec<u8>,
-    read: usize,
-    /// A message in pieces: its kind and what came of it so far.
+    header: [u8; HEADER],
+    header_len: usize,
+    frame: Option<Frame>,
+    /// The kind of the message that is coming in, if it comes in pieces.
     partial: Option<Opcode>,
-    pieces: Vec<u8>,
+    message: Vec<u8>,
+    control: Vec<u8>,
+    /// `message` has been given out.
+    given: bool,
     closed: bool,
 }
 
-#[derive(Clone, Copy)]
-struct Header {
-    fin: bool,
-    opcode: Opcode,
-    mask: Option<[u8; 4]>,
-    start: usize,
-    len: usize,
-}
-
 impl Decoder {
     /// A decoder for what `role` receives, with a limit in bytes on a message and on each of its frames.
     #[must_use]
     pub fn new(role: Role, limit: usize) -> Self {
-        Self { role, limit, buffer: Vec::new(), read: 0, partial: None, pieces: Vec::new(), closed: false }
-    }
-
-    /// Takes bytes from the stream.
-    pub fn push(&mut self, bytes: &[u8]) {
-        if self.read == self.buffer.len() {
-            if self.buffer.capacity() > KEPT && bytes.len() <= KEPT / 4 {
-                self.buffer = Vec::new();
-            }
-            self.buffer.clear();
-            self.read = 0;
-        } else if self.read >= self.buffer.len() / 2 {
-            // What is left moves to the front only when that costs less than what was read: it may be most of a large
-            // frame.
-            self.buffer.drain(..self.read);
-            self.read = 0;
+        Self {
+            role,
+            limit,
+            header: [0; HEADER],
+            header_len: 0,
+            frame: None,
+            partial: None,
+            message: Vec::new(),
+            control: Vec::new(),
+            given: false,
+            closed: false,
         }
-        self.buffer.extend_from_slice(bytes);
     }
 
-    /// The next message or control frame that is all there.
+    /// Takes bytes from the front of `input` up to the end of the next message or control frame. `None` means that
+    /// all of it was taken, or that the connection has been closed.
     ///
     /// # Errors
     /// The connection is to be failed; nothing can be read after it.
-    pub fn next_event(&mut self) -> Result<Option<Event<'_>>, FrameError> {
+    pub fn feed(&mut self, input: &mut &[u8]) -> Result<Option<Event<'_>>, FrameError> {
+        if std::mem::take(&mut self.given) {
+            self.message.clear();
+            if self.message.capacity() > KEPT && input.len() <= KEPT {
+                self.message = Vec::new();
+            }
+        }
         loop {
             if self.closed {
+                *input = &[];
                 return Ok(None);
             }
-            let Some(header) = self.header()? else { return Ok(None) };
-            let Some(payload) = self.buffer.get_mut(header.start..header.start + header.len) else {
-                return Ok(None);
+            let mut frame = match self.frame {
+                Some(frame) => frame,
+                None => match self.take_header(input)? {
+                    Some(frame) => frame,
+                    None => return Ok(None),
+                },
             };
-            if let Some(mask) = header.mask {
-                apply_mask(payload, mask);
+            let (payload, rest) = input.split_at(input.len().min(frame.len - frame.seen));
+            let is_control = frame.opcode.bits() >= 8;
+            let target = if is_control { &mut self.control } else { &mut self.message };
+            if frame.seen == 0 && is_control {
+                target.clear();
             }
-            self.read = header.start + header.len;
-            match (header.opcode, self.partial) {
-                (Opcode::Ping | Opcode::Pong | Opcode::Close, _) => return self.control(header).map(Some),
-                (Opcode::Continuation, None) | (Opcode::Text | Opcode::Binary, Some(_)) => {
-                    return Err(FrameError::Sequence);
-                }
-                (kind, None) if header.fin => return self.whole(kind, header).map(Some),
-                (kind, _) => {
-                    let kind = *self.partial.get_or_insert(kind);
-                    let part = &self.buffer[header.start..header.start + header.len];
-                    self.pieces.extend_from_slice(part);
-                    if header.fin {
-                        self.partial = None;
-                        return self.joined(kind).map(Some);
-                    }
-                }
+            extend_unmasked(target, payload, frame.mask, frame.seen);
+            frame.seen += payload.len();
+            *input = rest;
+            if frame.seen < frame.len {
+                self.frame = Some(frame);
+                return Ok(None);
+            }
+            self.frame = None;
+            if is_control {
+                return self.give_control(frame.opcode).map(Some);
+            }
+            let kind = self.partial.take().unwrap_or(frame.opcode);
+            if frame.fin {
+                self.given = true;
+                return give(kind, &self.message).map(Some);
             }
+            self.partial = Some(kind);
         }
     }
 
-    fn header(&self) -> Result<Option<Header>, FrameError> {
-        let rest = &self.buffer[self.read..];
-        let &[first, second, ..] = rest else { return Ok(None) };
+    /// Collects a header and judges it as soon as its first two bytes are there.
+    fn take_header(&mut self, input: &mut &[u8]) -> Result<Option<Frame>, FrameError> {
+        // Mostly a header lies in one piece.
+        if self.header_len == 0
+            && let Some(whole) = input.first_chunk::<HEADER>()
+        {
+            self.header = *whole;
+            let (opcode, wanted) = self.judge_start()?;
+            *input = &input[wanted..];
+            return self.read_header(opcode, wanted).map(Some);
+        }
+        loop {
+            let wanted = if self.header_len < 2 { 2 } else { self.judge_start()?.1 };
+            if self.header_len >= 2 && self.header_len == wanted {
+                let (opcode, _) = self.judge_start()?;
+                self.header_len = 0;
+                return self.read_header(opcode, wanted).map(Some);
+            }
+            let (part, rest) = input.split_at(input.len().min(wanted - self.header_len));
+            if part.is_empty() {
+                return Ok(None);
+            }
+            self.header[self.header_len..self.header_len + part.len()].copy_from_slice(part);
+            self.header_len += part.len();
+            *input = rest;
+        }
+    }
+
+    /// What the first two bytes say: the opcode, and how long the header is.
+    #[inline]
+    fn judge_start(&self) -> Result<(Opcode, usize), FrameError> {
+        let [first, second, ..] = self.header;
         let opcode = Opcode::of(first & 0x0f).filter(|_| first & 0x70 == 0).ok_or(FrameError::Reserved)?;
-        let fin = first & 0x80 != 0;
-        let masked = second & 0x80 != 0;
-        if masked != (self.role == Role::Server) {
+        if (second & 0x80 != 0) != (self.role == Role::Server) {
             return Err(FrameError::Mask);
         }
-        let short = usize::from(second & 0x7f);
-        if opcode.bits() >= 8 && (!fin || short > 125) {
-            return Err(FrameError::Control);
+        let fin = first & 0x80 != 0;
+        let length = match second & 0x7f {
+            126 => 2,
+            127 => 8,
+            _ => 0,
+        };
+        let size = 2 + length + if second & 0x80 != 0 { 4 } else { 0 };
+        match opcode {
+            Opcode::Close | Opcode::Ping | Opcode::Pong if !fin || second & 0x7f > 125 => {
+                Err(FrameError::Control)
+            }
+            Opcode::Continuation if self.partial.is_none() => Err(FrameError::Sequence),
+            Opcode::Text | Opcode::Binary if self.partial.is_some() => Err(FrameError::Sequence),
+            _ => Ok((opcode, size)),
         }
-        let (len, mut at) = match short {
-            126 => {
-                let Some(&[a, b]) = rest.get(2..4) else { return Ok(None) };
-                let len = u16::from_be_bytes([a, b]);
+    }
+
+    #[inline]
+    fn read_header(&self, opcode: Opcode, size: usize) -> Result<Frame, FrameError> {
+        let header = &self.header[..size];
+        let (len, rest) = match (header[1] & 0x7f, &header[2..]) {
+            (126, [a, b, rest @ ..]) => {
+                let len = u16::from_be_bytes([*a, *b]);
                 if len < 126 {
                     return Err(FrameError::Length);
                 }
-                (usize::from(len), 4)
+                (usize::from(len), rest)
             }
-            127 => {
-                let Some(raw) = rest.get(2..10).and_then(|r| <[u8; 8]>::try_from(r).ok()) else {
-                    return Ok(None);
-                };
-                let len = u64::from_be_bytes(raw);
+            (127, [a, b, c, d, e, f, g, h, rest @ ..]) => {
+                let len = u64::from_be_bytes([*a, *b, *c, *d, *e, *f, *g, *h]);
                 if len <= 0xffff || len >> 63 != 0 {
                     return Err(FrameError::Length);
                 }
-                (usize::try_from(len).map_err(|_| FrameError::TooLarge(self.limit))?, 10)
+                (usize::try_from(len).map_err(|_| FrameError::TooLarge(self.limit))?, rest)
             }
-            short => (short, 2),
+            (short, rest) => (usize::from(short), rest),
         };
-        let joined = if opcode == Opcode::Continuation { self.pieces.len() } else { 0 };
+        let joined = if opcode == Opcode::Continuation { self.message.len() } else { 0 };
         if len.saturating_add(joined) > self.limit && opcode.bits() < 8 {
             return Err(FrameError::TooLarge(self.limit));
         }
-        let mut mask = None;
-        if masked {
-            let Some(raw) = rest.get(at..at + 4).and_then(|r| <[u8; 4]>::try_from(r).ok()) else {
-                return Ok(None);
-            };
-            mask = Some(raw);
-            at += 4;
-        }
-        Ok(Some(Header { fin, opcode, mask, start: self.read + at, len }))
+        // A plain frame is one whose mask changes nothing.
+        let mask = <[u8; 4]>::try_from(rest).unwrap_or_default();
+        Ok(Frame { fin: self.header[0] & 0x80 != 0, opcode, mask, seen: 0, len })
     }
 
-    fn control(&mut self, header: Header) -> Result<Event<'_>, FrameError> {
-        let payload = &self.buffer[header.start..header.start + header.len];
-        match header.opcode {
-            Opcode::Ping => Ok(Event::Ping(payload)),
-            Opcode::Pong => Ok(Event::Pong(payload)),
+    fn give_control(&mut self, opcode: Opcode) -> Result<Event<'_>, FrameError> {
+        match opcode {
+            Opcode::Ping => Ok(Event::Ping(&self.control)),
+            Opcode::Pong => Ok(Event::Pong(&self.control)),
             _ => {
                 self.closed = true;
-                let [a, b, reason @ ..] = payload else {
-                    return if payload.is_empty() { Ok(Event::Close(None)) } else { Err(FrameError::Close) };
+                let [a, b, reason @ ..] = self.control.as_slice() else {
+                    return if self.control.is_empty() {
+                        Ok(Event::Close(None))
+                    } else {
+                        Err(FrameError::Close)
+                    };
                 };
                 let code = CloseCode(u16::from_be_bytes([*a, *b]));
                 if !code.may_be_sent() {
@@ -287,44 +343,32 @@
             }
         }
     }
+}
 
-    fn whole(&self, kind: Opcode, header: Header) -> Result<Event<'_>, FrameError> {
-        let payload = &self.buffer[header.start..header.start + header.len];
-        if kind == Opcode::Binary {
-            return Ok(Event::Binary(payload));
-        }
-        simdutf8::basic::from_utf8(payload).map(Event::Text).map_err(|_| FrameError::NotUtf8)
-    }
-
-    fn joined(&mut self, kind: Opcode) -> Result<Event<'_>, FrameError> {
-        // The pieces are kept until the next message, as the event borrows them.
-        self.buffer.drain(..self.read);
-        self.read = 0;
-        let len = self.pieces.len();
-        self.buffer.splice(..0, self.pieces.drain(..));
-        self.read = len;
-        let payload = &self.buffer[..len];
-        if kind == Opcode::Binary {
-            return Ok(Event::Binary(payload));
-        }
-        simdutf8::basic::from_utf8(payload).map(Event::Text).map_err(|_| FrameError::NotUtf8)
+fn give(kind: Opcode, message: &[u8]) -> Result<Event<'_>, FrameError> {
+    if kind == Opcode::Binary {
+        return Ok(Event::Binary(message));
     }
+    simdutf8::basic::from_utf8(message).map(Event::Text).map_err(|_| FrameError::NotUtf8)
 }
 
-/// An empty buffer larger than this is given back: an idle connection holds little.
-const KEPT: usize = 16 * 1024;
-
-fn apply_mask(payload: &mut [u8], mask: [u8; 4]) {
+/// Appends a payload without its mask, whose bytes before it were `seen`.
+fn extend_unmasked(target: &mut Vec<u8>, payload: &[u8], mask: [u8; 4], seen: usize) {
+    if mask == [0; 4] {
+        return target.extend_from_slice(payload);
+    }
+    let start = target.len();
+    target.resize(start + payload.len(), 0);
     // Sixteen bytes at a time, which compilers turn into vector instructions.
-    let wide = u128::from_ne_bytes(std::array::from_fn(|n| mask[n % 4]));
-    let mut chunks = payload.chunks_exact_mut(16);
-    for chunk in &mut chunks {
-        if let Ok(word) = <[u8; 16]>::try_from(&*chunk) {
-            chunk.copy_from_slice(&(u128::from_ne_bytes(word) ^ wide).to_ne_bytes());
-        }
+    let word = u32::from_le_bytes(mask).rotate_right(8 * (seen as u32 % 4));
+    let wide = u128::from(word) * 0x0000_0001_0000_0001_0000_0001_0000_0001;
+    let (from, from_rest) = payload.as_chunks::<16>();
+    let (to, to_rest) = target[start..].as_chunks_mut::<16>();
+    for (to, from) in to.iter_mut().zip(from) {
+        *to = (u128::from_le_bytes(*from) ^ wide).to_le_bytes();
     }
-    for (byte, key) in chunks.into_remainder().iter_mut().zip(mask.into_iter().cycle()) {
-        *byte ^= key;
+    for ((to, from), key) in to_rest.iter_mut().zip(from_rest).zip(word.to_le_bytes().into_iter().cycle()) {
+        *to = from ^ key;
     }
 }
 
@@ -350,11 +394,12 @@
             out.extend_from_slice(&len.to_be_bytes());
         }
     }
-    let start = out.len() + if mask.is_some() { 4 } else { 0 };
-    out.extend_from_slice(mask.as_ref().map_or(&[][..], |m| m));
-    out.extend_from_slice(payload);
-    if let Some(mask) = mask {
-        apply_mask(&mut out[start..], mask);
+    match mask {
+        Some(mask) => {
+            out.extend_from_slice(&mask);
+            extend_unmasked(out, payload, mask, 0);
+        }
+        None => out.extend_from_slice(payload),
     }
 }
 
--- a/crates/fawnrouter-ws/tests/codec.rs
+++ b/crates/fawnrouter-ws/tests/codec.rs
@@ -81,9 +81,9 @@
     assert_eq!(client.check(&refused, &HttpLimits::default()), Err(HandshakeError::Refused(503)));
 }
 
-fn events(decoder: &mut Decoder) -> Result<Vec<String>, FrameError> {
+fn events(decoder: &mut Decoder, mut input: &[u8]) -> Result<Vec<String>, FrameError> {
     let mut all = Vec::new();
-    while let Some(event) = decoder.next_event()? {
+    while let Some(event) = decoder.feed(&mut input)? {
         all.push(match event {
             Event::Text(t) => format!("text {t}"),
             Event::Binary(b) => format!("binary {}", b.len()),
@@ -114,17 +114,14 @@
     let expected = ["ping 6", "text gr\u{fc}\u{df}e", "text whole", "binary 300", "close Some(1000)"];
     for cut in 0..=all.len() {
         let mut decoder = Decoder::new(Role::Server, 1000);
-        decoder.push(&all[..cut]);
-        let mut got = events(&mut decoder).unwrap();
-        decoder.push(&all[cut..]);
-        got.extend(events(&mut decoder).unwrap());
+        let mut got = events(&mut decoder, &all[..cut]).unwrap();
+        got.extend(events(&mut decoder, &all[cut..]).unwrap());
         assert_eq!(got, expected, "cut at {cut}");
     }
     let mut decoder = Decoder::new(Role::Server, 1000);
     let mut got = Vec::new();
     for byte in all {
-        decoder.push(&[byte]);
-        got.extend(events(&mut decoder).unwrap());
+        got.extend(events(&mut decoder, &[byte]).unwrap());
     }
     assert_eq!(got, expected);
 }
@@ -133,8 +130,7 @@
 fn what_breaks_the_protocol_is_told_with_its_close_code() {
     let plain = |bytes: &[u8]| {
         let mut decoder = Decoder::new(Role::Client, 200);
-        decoder.push(bytes);
-        events(&mut decoder).map_err(|e| e.close_code().0)
+        events(&mut decoder, bytes).map_err(|e| e.close_code().0)
     };
     let rows: [(&str, &[u8], u16); 14] = [
         ("reserved bit", &[0xc1, 0], 1002),
@@ -160,15 +156,13 @@
     pieces.extend([0x80, 125]);
     assert_eq!(plain(&pieces), Err(1009), "pieces that add up to too much");
     let mut unmasked = Decoder::new(Role::Server, 200);
-    unmasked.push(&[0x81, 0]);
-    assert_eq!(unmasked.next_event(), Err(FrameError::Mask));
+    assert_eq!(unmasked.feed(&mut &[0x81, 0][..]), Err(FrameError::Mask));
 }
 
 #[test]
 fn nothing_is_read_after_a_close() {
     let mut decoder = Decoder::new(Role::Client, 200);
-    decoder.push(&[0x88, 0, 0x81, 1, b'x']);
-    assert_eq!(events(&mut decoder).unwrap(), ["close None"]);
+    assert_eq!(events(&mut decoder, &[0x88, 0, 0x81, 1, b'x']).unwrap(), ["close None"]);
 }
 
 #[test]
@@ -184,8 +178,7 @@
     fn no_bytes_make_the_codecs_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
         for role in [Role::Server, Role::Client] {
             let mut decoder = Decoder::new(role, 200);
-            decoder.push(&bytes);
-            let _ = events(&mut decoder);
+            let _ = events(&mut decoder, &bytes);
         }
         let _ = accept(&bytes, &terms());
         let _ = parse_response(&bytes, &HttpLimits::default());
@@ -199,10 +192,11 @@
         encode_fragment(Opcode::Continuation, true, &payload[cut..], Some(mask), &mut bytes);
         encode(Opcode::Binary, &payload, Some(mask), &mut bytes);
         let mut decoder = Decoder::new(Role::Server, 80_000);
-        decoder.push(&bytes);
+        let mut input = &bytes[..];
         for _ in 0..2 {
-            prop_assert_eq!(decoder.next_event().unwrap(), Some(Event::Binary(&payload[..])));
+            prop_assert_eq!(decoder.feed(&mut input).unwrap(), Some(Event::Binary(&payload[..])));
         }
-        prop_assert_eq!(decoder.next_event().unwrap(), None);
+        prop_assert_eq!(decoder.feed(&mut input).unwrap(), None);
+        prop_assert!(input.is_empty());
     }
 }
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -21,11 +21,14 @@
 /// How long a connection that ends may take to write its last bytes.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
-/// Reads once into the shared buffer and hands the bytes on; `false` at the end of the stream.
-async fn read_some(core: &Core, stream: &Async<TcpStream>, take: impl FnOnce(&[u8])) -> io::Result<bool> {
+/// Reads once into the shared buffer and hands the bytes on; `None` at the end of the stream.
+async fn read_some<T>(
+    core: &Core,
+    stream: &Async<TcpStream>,
+    take: impl FnOnce(&[u8]) -> T,
+) -> io::Result<Option<T>> {
     let n = stream.read_with(|mut s| s.read(&mut core.scratch.borrow_mut())).await?;
-    take(&core.scratch.borrow()[..n]);
-    Ok(n > 0)
+    Ok((n > 0).then(|| take(&core.scratch.borrow()[..n])))
 }
 
 pub fn sip_limits(core: &Core) -> Limits {
@@ -63,20 +66,20 @@
     tracing::debug!(client = client.0, %peer, "client connected");
     let heard = Cell::new(Instant::now());
     let reading = async {
-        let mut decoder =
-            Decoder::new(Role::Server, core.settings.limits.head_bytes + core.settings.limits.body_bytes);
-        decoder.push(&rest);
+        let limits = &core.settings.limits;
+        let mut decoder = Decoder::new(Role::Server, limits.head_bytes + limits.body_bytes);
         let mut session = Session { core: &core, client, outbox: &outbox, bad_in_a_row: 0 };
-        loop {
-            if !session.take_all(&mut decoder) {
-                return;
-            }
+        let mut goes_on = session.take_all(&mut decoder, &rest);
+        drop(rest);
+        while goes_on {
             // One client's stream of messages must not keep the others waiting.
             future::yield_now().await;
-            match read_some(&core, &stream, |bytes| decoder.push(bytes)).await {
-                Ok(true) => heard.set(Instant::now()),
+            let read = read_some(&core, &stream, |bytes| session.take_all(&mut decoder, bytes));
+            match read.await {
+                Ok(Some(more)) => goes_on = more,
                 _ => return outbox.kill(),
             }
+            heard.set(Instant::now());
         }
     };
     let writing = async {
@@ -103,7 +106,7 @@
     let mut bytes = Vec::new();
     loop {
         let more = read_some(core, stream, |b| bytes.extend_from_slice(b)).await;
-        if !matches!(more, Ok(true)) {
+        if !matches!(more, Ok(Some(()))) {
             return None;
         }
         let limits = &core.settings.limits;
@@ -124,7 +127,7 @@
         let _ = stream.write_all(&answer).await;
         let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
         // The rest of the request is read, so that the answer is not lost to a reset.
-        while let Ok(true) = read_some(core, stream, |_| ()).await {}
+        while let Ok(Some(())) = read_some(core, stream, |_| ()).await {}
         return None;
     }
 }
@@ -155,9 +158,9 @@
 
 impl Session<'_> {
     /// Works on all that is there; `false` when the connection is to end.
-    fn take_all(&mut self, decoder: &mut Decoder) -> bool {
+    fn take_all(&mut self, decoder: &mut Decoder, mut input: &[u8]) -> bool {
         loop {
-            let (code, reason) = match decoder.next_event() {
+            let (code, reason) = match decoder.feed(&mut input) {
                 Ok(None) => return true,
                 Ok(Some(Event::Text(text))) => match self.message(text.as_bytes()) {
                     Some(reason) => (CloseCode::POLICY, reason),
