Lab: late answers, stand-ins tested alone, ready line in every demonstration

Need: late answers could not be scripted, the demonstration printed its address only when held, and the stand-in's processor had no test of its own.

--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -29,6 +29,8 @@
     pub baseline: bool,
     /// A line on standard error each second.
     pub progress: bool,
+    /// The gateways' ready lines on standard output.
+    pub announce: bool,
 }
 
 const fn ms(n: u64) -> Duration {
@@ -276,6 +278,11 @@
                 self.registry.borrow_mut().empty = empty;
                 self.changed();
             }
+            Act::LateAnswers(id, late) => {
+                if let Some(stand) = stand(id) {
+                    stand.with(|p| p.late = ms(late));
+                }
+            }
             Act::CrossCancel(id, on) => {
                 if let Some(stand) = stand(id) {
                     stand.with(|p| p.cross_cancel = on);
@@ -329,6 +336,9 @@
     /// Runs the day to its end.
     pub async fn run(self: &Rc<Self>, options: DayOptions) -> io::Result<Report> {
         let mut gateways = self.start_gateways(options).await?;
+        if options.announce {
+            gateways.iter().for_each(|g| println!("{}", g.ready));
+        }
         let start = self.tap.now();
         let mut background = vec![
             self.executor.spawn(self.callers.clone().run()),
--- a/crates/fawnrouter-lab/src/demo.rs
+++ b/crates/fawnrouter-lab/src/demo.rs
@@ -32,7 +32,7 @@
     let mut script = Script::parse("demo-day.yaml", SCRIPT).map_err(io::Error::other)?;
     script.seconds = options.seconds.max(1);
     let executor = Rc::new(LocalExecutor::new());
-    let day = DayOptions { seed: options.seed, baseline: false, progress: true };
+    let day = DayOptions { seed: options.seed, baseline: false, progress: true, announce: true };
     let all = async {
         let lab = Lab::open(script, options.seed, &executor).await?;
         if !options.hold {
--- a/crates/fawnrouter-lab/src/main.rs
+++ b/crates/fawnrouter-lab/src/main.rs
@@ -132,7 +132,7 @@
                     return ExitCode::from(2);
                 }
             };
-            match run_day(script, DayOptions { seed, baseline, progress: !quiet }) {
+            match run_day(script, DayOptions { seed, baseline, progress: !quiet, announce: false }) {
                 Ok(report) => {
                     print!("{report}");
                     if report.clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- a/crates/fawnrouter-lab/src/plan.rs
+++ b/crates/fawnrouter-lab/src/plan.rs
@@ -25,6 +25,8 @@
     ListDelay(u64),
     /// The list names nobody, or all again.
     EmptyList(bool),
+    /// A switch's final answers are this many milliseconds late.
+    LateAnswers(u32, u64),
     /// A switch answers 200 in spite of CANCEL, or no longer.
     CrossCancel(u32, bool),
 }
@@ -78,6 +80,9 @@
             Trouble::EmptyList { .. } => {
                 acts.extend([(from, Act::EmptyList(true)), (to, Act::EmptyList(false))])
             }
+            Trouble::LateAnswers { switches, late_ms, .. } => {
+                each(switches, &|id| Act::LateAnswers(id, *late_ms), &|id| Act::LateAnswers(id, 0));
+            }
             Trouble::CrossCancel { switches, .. } => {
                 each(switches, &|id| Act::CrossCancel(id, true), &|id| Act::CrossCancel(id, false));
             }
@@ -100,7 +105,7 @@
         let mut kinds: Vec<&str> = script.troubles.iter().map(Trouble::name).collect();
         kinds.sort_unstable();
         kinds.dedup();
-        assert_eq!(kinds.len(), 10, "the example shows every kind: {kinds:?}");
+        assert_eq!(kinds.len(), 11, "the example shows every kind: {kinds:?}");
         let replaced = acts.iter().find(|(_, a)| matches!(a, Act::Replace(..)));
         assert!(matches!(replaced, Some((_, Act::Replace(new, old))) if new > old));
     }
--- a/crates/fawnrouter-lab/src/script.rs
+++ b/crates/fawnrouter-lab/src/script.rs
@@ -128,6 +128,8 @@
     LateList { at_ms: u64, for_ms: u64, delay_ms: u64 },
     /// The list names nobody.
     EmptyList { at_ms: u64, for_ms: u64 },
+    /// Final answers leave this much later than they are done.
+    LateAnswers { at_ms: u64, for_ms: u64, switches: Vec<u32>, late_ms: u64 },
     /// Switches take no notice of CANCEL and answer 200 all the same.
     CrossCancel { at_ms: u64, for_ms: u64, switches: Vec<u32> },
 }
@@ -145,6 +147,7 @@
             | Self::RestartZone { at_ms, for_ms, .. }
             | Self::Replace { at_ms, for_ms, .. }
             | Self::LateList { at_ms, for_ms, .. }
+            | Self::LateAnswers { at_ms, for_ms, .. }
             | Self::EmptyList { at_ms, for_ms }
             | Self::CrossCancel { at_ms, for_ms, .. } => (*at_ms, at_ms.saturating_add(*for_ms)),
         }
@@ -163,6 +166,7 @@
             Self::Replace { .. } => "replace",
             Self::LateList { .. } => "late_list",
             Self::EmptyList { .. } => "empty_list",
+            Self::LateAnswers { .. } => "late_answers",
             Self::CrossCancel { .. } => "cross_cancel",
         }
     }
@@ -176,6 +180,7 @@
             | Self::Silent { switches, .. }
             | Self::Restart { switches, .. }
             | Self::Replace { switches, .. }
+            | Self::LateAnswers { switches, .. }
             | Self::CrossCancel { switches, .. } => switches,
             _ => &[],
         }
--- a/crates/fawnrouter-lab/src/switch.rs
+++ b/crates/fawnrouter-lab/src/switch.rs
@@ -43,6 +43,8 @@
 enum Job {
     SetUp(u64, String),
     Answer(u64, String),
+    /// An answer that is done and comes late.
+    Late(u64, String),
     Release(u64, Box<Message>),
 }
 
@@ -71,6 +73,8 @@
     pub silent: bool,
     /// Answers 200 in spite of a CANCEL.
     pub cross_cancel: bool,
+    /// Final answers leave this much after they are done.
+    pub late: Duration,
 }
 
 impl Processor {
@@ -91,6 +95,7 @@
             slow: 1.0,
             silent: false,
             cross_cancel: false,
+            late: Duration::ZERO,
         }
     }
 
@@ -219,7 +224,11 @@
                     self.enqueue(now, WORK.1, Some(Job::Answer(conn, id)));
                 }
             }
-            Job::Answer(conn, id) => {
+            Job::Answer(conn, id) if !self.late.is_zero() => {
+                self.next += 1;
+                self.jobs.insert((now + self.late, self.next), Job::Late(conn, id));
+            }
+            Job::Answer(conn, id) | Job::Late(conn, id) => {
                 if let Some(call) = self.calls.remove(&(conn, id)).filter(|c| !c.taken_back) {
                     let contact = Some(self.make.contact.as_str());
                     steps.push(Step::Send(conn, answer(&call.invite, 200, &[], contact)));
@@ -243,3 +252,100 @@
         None => draft.finish(b""),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use fawnrouter_sip::Limits;
+
+    const fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    fn make() -> Make {
+        Make {
+            capacity_per_s: 10.0,
+            full_after: ms(300),
+            tells_wait: true,
+            cold_from: 0.5,
+            ramp: ms(10_000),
+            fall_multiple: 2.0,
+            fall_time: ms(1000),
+            contact: "<sip:s@127.0.0.1>".into(),
+        }
+    }
+
+    fn request(method: Method, n: u32) -> Box<Message> {
+        let mut draft = Draft::request(method, "sip:x@s");
+        draft
+            .field(Name::Via, &format!("SIP/2.0/TCP g;branch=z9hG4bK{n}"))
+            .field(Name::CallId, &n.to_string());
+        draft.field(Name::From, "<sip:a@b>;tag=1").field(Name::To, "<sip:x@s>");
+        let bytes = draft.field(Name::CSeq, &format!("1 {}", method.name())).finish(b"");
+        Box::new(Message::parse(&bytes, &Limits::default()).expect("sound SIP"))
+    }
+
+    /// Statuses sent, with when, as calls come in at these times.
+    fn play(
+        mut p: Processor,
+        calls: &[u64],
+        until: u64,
+        change: impl Fn(&mut Processor, u64),
+    ) -> Vec<(u64, u16)> {
+        let mut out = Vec::new();
+        for now in 0..until {
+            let mut steps = Vec::new();
+            change(&mut p, now);
+            for n in calls.iter().filter(|t| **t == now) {
+                p.take(ms(now), 1, request(Method::Invite, *n as u32 + out.len() as u32 * 1000), &mut steps);
+            }
+            p.pass(ms(now), &mut steps);
+            out.extend(steps.into_iter().map(|step| match step {
+                Step::Send(_, bytes) => (
+                    now,
+                    Message::parse(&bytes, &Limits::default()).ok().and_then(|m| m.status()).unwrap_or(0),
+                ),
+                Step::Fallen => (now, 999),
+            }));
+        }
+        out
+    }
+
+    #[test]
+    fn a_call_takes_its_set_up_and_answer_work_in_line() {
+        let out = play(Processor::new(make(), None), &[0], 200, |_, _| ());
+        assert_eq!(out, [(0, 100), (60, 180), (80, 200)]);
+    }
+
+    #[test]
+    fn answers_wait_behind_new_set_ups_and_a_long_line_is_full() {
+        let times: Vec<u64> = (0..9).collect();
+        let out = play(Processor::new(make(), None), &times, 2000, |_, _| ());
+        let first_answer = out.iter().find(|(_, s)| *s == 200).expect("an answer").0;
+        assert!(first_answer > 300, "{first_answer}");
+        assert!(out.iter().any(|(_, s)| *s == 503));
+    }
+
+    #[test]
+    fn a_stall_holds_everything_up_and_a_late_answer_holds_up_nobody() {
+        let still = |p: &mut Processor, now| {
+            if now == 30 {
+                p.stand_still(ms(30), ms(500));
+            }
+        };
+        assert_eq!(play(Processor::new(make(), None), &[0], 800, still), [(0, 100), (560, 180), (580, 200)]);
+        let late = |p: &mut Processor, _| p.late = ms(400);
+        let out = play(Processor::new(make(), None), &[0, 100], 800, late);
+        assert_eq!(out, [(0, 100), (60, 180), (100, 100), (160, 180), (480, 200), (580, 200)]);
+    }
+
+    #[test]
+    fn a_cold_one_is_slower_and_falls_over_when_pushed() {
+        let out = play(Processor::new(make(), Some(ms(0))), &[0], 400, |_, _| ());
+        assert!(out[1].0 >= 118, "half the capacity: {out:?}");
+        let times: Vec<u64> = (0..14).map(|n| n * 2).collect();
+        let out = play(Processor::new(make(), Some(ms(0))), &times, 100, |_, _| ());
+        // Its budget in a second is 2 * 5 and a little for chance.
+        assert_eq!(out.iter().filter(|(_, s)| *s == 999).count(), 1, "{out:?}");
+    }
+}
--- a/crates/fawnrouter-lab/tests/sockets.rs
+++ b/crates/fawnrouter-lab/tests/sockets.rs
@@ -436,6 +436,23 @@
     assert_eq!(words, ["taken", "set-up sent", "answered", "released"]);
 }
 
+#[test]
+fn the_held_demonstration_serves_a_client_until_sigint() {
+    let mut child =
+        Command::new(LAB).args(["demo", "--hold"]).stdout(Stdio::piped()).spawn().expect("the lab runs");
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().expect("piped")).read_line(&mut line).expect("a line");
+    let address = line.trim().strip_prefix("ready ws://").and_then(|r| r.strip_suffix('/')).expect("ready");
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut gateway = Gateway { child, address: address.parse().expect("an address"), folder };
+    let mut client = Client::connect(&gateway);
+    client.send(&request(Method::Invite, 1));
+    assert_eq!(client.last_status(), 200);
+    drop(client);
+    gateway.signal(Signal::INT);
+    assert!(gateway.child.wait().expect("an end").success());
+}
+
 fn lab(args: &[&str]) -> Output {
     Command::new(LAB).args(args).output().expect("the lab runs")
 }
@@ -445,6 +462,7 @@
     let out = lab(&["demo", "--seconds", "2", "--seed", "4"]);
     let text = String::from_utf8_lossy(&out.stdout).into_owned();
     assert!(out.status.success() && text.contains("audit              clean"), "{text}");
+    assert!(text.lines().any(|l| l.starts_with("ready ws://127.0.0.1:")), "{text}");
 }
 
 /// Two gateways learn in the same instant of a cold switch that takes a third of the load, and one restarts.
