Admission in the daemon: caps by address and network, rates, handshakes, room made by the idle

With a section admission in the settings, the daemon asks the decision at accept and before the upgrade; who does not get in is told 503 with the reason and a spread Retry-After, and the idle stranger that makes room is closed with 1013. Without the section the program is as before.

--- a/crates/fawnrouter-config/tests/errors.rs
+++ b/crates/fawnrouter-config/tests/errors.rs
@@ -73,6 +73,17 @@
     assert!(parse("g.yaml", "1: 2").unwrap_err().lines()[0].contains("a key is no text"));
 }
 
+#[test]
+fn admission_is_off_unless_it_is_written_and_its_networks_are_checked() {
+    assert!(parse("g.yaml", GOOD).unwrap().admission(1).is_none());
+    let on = parse("g.yaml", &format!("{GOOD}admission: {{}}\n")).unwrap();
+    assert_eq!(on.admission(1).map(|a| (a.total, a.per_address)), Some((1000, 200)));
+    let text =
+        format!("{GOOD}admission: {{ exceptions: [{{ address: 127.0.0.1, bits: 40, connections: 9 }}] }}\n");
+    let error = parse("g.yaml", &text).unwrap_err();
+    assert!(error.lines()[0].contains("admission.exceptions.0.bits: is beyond the 32 bits"), "{error}");
+}
+
 #[test]
 fn an_address_that_is_none_is_told() {
     let lines = errors("address: 127.0.0.1:5080", "address: nowhere");
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -116,6 +116,12 @@
         self.table.live()
     }
 
+    /// Calls of a client that are held, out or standing now.
+    #[must_use]
+    pub fn calls_of(&self, client: ClientId) -> usize {
+        self.table.clients.get(&client).map_or(0, |c| c.calls.len())
+    }
+
     /// Legs known now, with those that only wait for a late answer.
     #[must_use]
     pub fn legs(&self) -> usize {
--- a/crates/fawnrouter-lab/tests/sockets.rs
+++ b/crates/fawnrouter-lab/tests/sockets.rs
@@ -9,9 +9,11 @@
 
 use fawnrouter_sip::{Chunk, Draft, Limits, Message, Method, Name, StreamDecoder};
 use fawnrouter_ws::{
-    ClientHandshake, CloseCode, Decoder, Event, HttpLimits, Opcode, Role, encode, encode_fragment,
+    ClientHandshake, CloseCode, Decoder, Event, HandshakeError, HttpLimits, Opcode, Role, encode,
+    encode_fragment,
 };
 use rustix::process::{Pid, Signal, kill_process};
+use socket2::{Domain, Socket, Type};
 
 const LAB: &str = env!("CARGO_BIN_EXE_fawnrouter-lab");
 /// Nothing here waits this long but what has failed.
@@ -90,7 +92,15 @@
 
 impl Client {
     fn connect(gateway: &Gateway) -> Self {
-        let mut stream = TcpStream::connect(gateway.address).expect("the gateway listens");
+        Self::from(gateway, [127, 0, 0, 1]).expect("an upgrade")
+    }
+
+    /// From a loopback address of its own choice; the status if it is refused.
+    fn from(gateway: &Gateway, address: [u8; 4]) -> Result<Self, u16> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from((address, 0)).into()).expect("a loopback address");
+        socket.connect(&gateway.address.into()).expect("the gateway listens");
+        let mut stream = TcpStream::from(socket);
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let shake = ClientHandshake::new([9; 16], "sip");
         stream.write_all(&shake.request("gw", "/", None)).expect("the request is sent");
@@ -99,8 +109,12 @@
             let mut byte = [0];
             stream.read_exact(&mut byte).expect("an answer");
             bytes.push(byte[0]);
-            if shake.check(&bytes, &HttpLimits::default()).expect("an upgrade").is_some() {
-                return Self { stream, decoder: Decoder::new(Role::Client, 1 << 20), held: Vec::new() };
+            let checked = match shake.check(&bytes, &HttpLimits::default()) {
+                Err(HandshakeError::Refused(status)) => return Err(status),
+                other => other.expect("an upgrade"),
+            };
+            if checked.is_some() {
+                return Ok(Self { stream, decoder: Decoder::new(Role::Client, 1 << 20), held: Vec::new() });
             }
         }
     }
@@ -453,6 +467,59 @@
     assert!(gateway.child.wait().expect("an end").success());
 }
 
+#[test]
+fn caps_by_address_and_network_turn_floods_away_politely_and_others_get_in() {
+    let gateway = Gateway::start(
+        &[],
+        "admission: { per_address: 3, per_network: 10, rate_per_s: 1000, burst: 1000, handshakes_per_address: 100 }",
+    );
+    let mut inside: Vec<Client> = (0..3).map(|_| Client::connect(&gateway)).collect();
+    assert_eq!((0..200).filter(|_| Client::from(&gateway, [127, 0, 0, 1]).err() == Some(503)).count(), 200);
+    // Another address of the same network gets in until the network's cap, one elsewhere all the same.
+    let mut neighbours = Vec::new();
+    for n in 2..100 {
+        neighbours.extend(Client::from(&gateway, [127, 0, 0, n]).ok());
+    }
+    assert_eq!(neighbours.len(), 7);
+    let mut elsewhere = Client::from(&gateway, [127, 7, 0, 1]).expect("room");
+    elsewhere.send(&request(Method::Options, 1));
+    assert_eq!(elsewhere.status(), 200);
+    // A place that is given back can be had again.
+    let first = &mut inside[0];
+    let mut bye = Vec::new();
+    encode(Opcode::Close, &[], MASK, &mut bye);
+    first.stream.write_all(&bye).expect("sent");
+    assert_eq!(first.next(), Got::Close(Some(CloseCode::NORMAL)));
+    assert_eq!(first.next(), Got::End);
+    while Client::from(&gateway, [127, 0, 0, 1]).is_err() {}
+}
+
+#[test]
+fn a_flood_from_two_thousand_addresses_leaves_those_with_calls_alone() {
+    let (address, told) = switch(ok_for_all);
+    let gateway = Gateway::start(
+        &[address],
+        "admission: { per_network: 100000, handshakes: 1000 }\nlimits: { connections: 20 }",
+    );
+    let mut caller = Client::connect(&gateway);
+    caller.send(&request(Method::Invite, 1));
+    assert_eq!(caller.last_status(), 200);
+    let mut idle = Client::connect(&gateway);
+    let mut flood = Vec::new();
+    for n in 0..2000u32 {
+        let address = [127, 1 + (n % 200) as u8, (n / 200) as u8, 9];
+        match Client::from(&gateway, address) {
+            Ok(client) => flood.push(client),
+            Err(status) => assert_eq!(status, 503),
+        }
+    }
+    // The idle one had to make room, and was told to come later; the one in a call was not touched.
+    assert_eq!(idle.next(), Got::Close(Some(CloseCode::LATER)));
+    caller.send(&request(Method::Options, 2));
+    assert_eq!(caller.last_status(), 200);
+    assert!(told.try_iter().all(|m| m.method() != Some(Method::Bye)));
+}
+
 fn lab(args: &[&str]) -> Output {
     Command::new(LAB).args(args).output().expect("the lab runs")
 }
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
+use fawnrouter_admission::{Conn, Reason};
 use fawnrouter_engine::Input;
 use fawnrouter_sip::{Limits, Message};
 use fawnrouter_ws::{
@@ -52,29 +53,51 @@
 }
 
 /// Serves one connection to its end.
-pub async fn drive(core: Rc<Core>, stream: Async<TcpStream>, peer: SocketAddr, terms: Rc<Terms>) {
+pub async fn drive(core: Rc<Core>, conn: Conn, stream: Async<TcpStream>, peer: SocketAddr, terms: Rc<Terms>) {
+    serve(&core, conn, stream, peer, &terms).await;
+    core.gone(conn);
+}
+
+/// Tells a connection that does not get in when to come back. The answer goes out before its request is read, and
+/// what it sends is read for a moment, so that the answer is not lost to a reset.
+pub async fn turn_away(core: Rc<Core>, stream: Async<TcpStream>, reason: Reason, wait: Duration) {
+    let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+    let answer = refuse(503, reason.text(), Some(seconds));
+    let telling = async {
+        let mut writer = &stream;
+        let _ = writer.write_all(&answer).await;
+        let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
+        while let Ok(Some(())) = read_some(&core, &stream, |_| ()).await {}
+    };
+    future::or(telling, async {
+        Timer::after(LAST_WORDS).await;
+    })
+    .await;
+}
+
+async fn serve(core: &Rc<Core>, conn: Conn, stream: Async<TcpStream>, peer: SocketAddr, terms: &Terms) {
     let _ = stream.get_ref().set_nodelay(true);
     let limit = Duration::from_millis(core.settings.listen.handshake_ms);
-    let shaken = future::or(handshake(&core, &stream, &terms), async {
+    let shaken = future::or(handshake(core, conn, &stream, terms), async {
         Timer::after(limit).await;
         None
     });
     let Some(rest) = shaken.await else { return };
     let outbox = Rc::new(Outbox::new(core.settings.limits.write_backlog_bytes));
-    let client = core.add_client(outbox.clone());
+    let client = core.add_client(conn, outbox.clone());
     core.input(Input::ClientUp { client, peer });
     tracing::debug!(client = client.0, %peer, "client connected");
     let heard = Cell::new(Instant::now());
     let reading = async {
         let limits = &core.settings.limits;
         let mut decoder = Decoder::new(Role::Server, limits.head_bytes + limits.body_bytes);
-        let mut session = Session { core: &core, client, outbox: &outbox, bad_in_a_row: 0 };
+        let mut session = Session { core, client, outbox: &outbox, bad_in_a_row: 0 };
         let mut goes_on = session.take_all(&mut decoder, &rest);
         drop(rest);
         while goes_on {
             // One client's stream of messages must not keep the others waiting.
             future::yield_now().await;
-            let read = read_some(&core, &stream, |bytes| session.take_all(&mut decoder, bytes));
+            let read = read_some(core, &stream, |bytes| session.take_all(&mut decoder, bytes));
             match read.await {
                 Ok(Some(more)) => goes_on = more,
                 _ => return outbox.kill(),
@@ -85,7 +108,7 @@
     let writing = async {
         let _ = outbox.write_to(&stream).await;
     };
-    let watching = future::or(outbox.killed(), keep_alive(&core, &outbox, &heard));
+    let watching = future::or(outbox.killed(), keep_alive(core, &outbox, &heard));
     future::or(future::or(reading, writing), watching).await;
     core.remove_client(client);
     core.input(Input::ClientDown { client });
@@ -102,27 +125,26 @@
 }
 
 /// Agrees with the client; `Some` with the bytes that came behind its request.
-async fn handshake(core: &Core, stream: &Async<TcpStream>, terms: &Terms) -> Option<Vec<u8>> {
+async fn handshake(core: &Core, conn: Conn, stream: &Async<TcpStream>, terms: &Terms) -> Option<Vec<u8>> {
     let mut bytes = Vec::new();
     loop {
         let more = read_some(core, stream, |b| bytes.extend_from_slice(b)).await;
         if !matches!(more, Ok(Some(()))) {
             return None;
         }
-        let limits = &core.settings.limits;
-        let answer = match accept(&bytes, terms) {
-            Ok(None) => continue,
-            Ok(Some(_)) if core.clients() >= limits.connections => {
-                let wait = limits.retry_after_ms.div_ceil(1000);
-                refuse(503, "the limit of connections is reached", Some(wait))
-            }
-            Ok(Some(accepted)) => {
-                let mut stream = stream;
-                stream.write_all(&accepted.response).await.ok()?;
-                return Some(bytes.split_off(accepted.consumed));
-            }
-            Err(error) => refuse(error.status(), &error.to_string(), None),
-        };
+        let answer =
+            match accept(&bytes, terms).map(|done| done.map(|accepted| (accepted, core.shaken(conn)))) {
+                Ok(None) => continue,
+                Ok(Some((_, Err((reason, wait))))) => {
+                    refuse(503, reason.text(), Some(wait.as_secs() + u64::from(wait.subsec_nanos() > 0)))
+                }
+                Ok(Some((accepted, Ok(())))) => {
+                    let mut stream = stream;
+                    stream.write_all(&accepted.response).await.ok()?;
+                    return Some(bytes.split_off(accepted.consumed));
+                }
+                Err(error) => refuse(error.status(), &error.to_string(), None),
+            };
         let mut stream = stream;
         let _ = stream.write_all(&answer).await;
         let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
--- a/crates/fawnrouterd/src/core.rs
+++ b/crates/fawnrouterd/src/core.rs
@@ -3,16 +3,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
+use std::net::IpAddr;
 use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant, SystemTime};
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use fawnrouter_admission::{Admission, Arrival, Conn, Reason, Verdict};
 use fawnrouter_config::Settings;
 use fawnrouter_engine::fawnrouter::{ServerId, Time};
 use fawnrouter_engine::{ClientId, Engine, Input, Output};
-use fawnrouter_ws::{Opcode, encode};
+use fawnrouter_ws::{CloseCode, Opcode, close_payload, encode};
 use futures_lite::future;
 
 use crate::log::Spans;
@@ -44,8 +46,13 @@
 
 struct State {
     engine: Engine,
+    /// Who gets in; `None` leaves it to the limit of connections.
+    admission: Option<Admission>,
+    /// Connections from their arrival on: the outbox from the end of the handshake.
+    conns: BTreeMap<Conn, Option<Rc<Outbox>>>,
+    next_conn: u64,
     outputs: Vec<Output>,
-    clients: BTreeMap<ClientId, Rc<Outbox>>,
+    clients: BTreeMap<ClientId, (Conn, Rc<Outbox>)>,
     trunks: BTreeMap<ServerId, Rc<Outbox>>,
     spans: Spans,
     next_client: u64,
@@ -67,9 +74,17 @@
 }
 
 impl Core {
-    pub fn new(settings: Settings, engine: Engine, executor: &Rc<LocalExecutor<'static>>) -> Rc<Self> {
+    pub fn new(
+        settings: Settings,
+        engine: Engine,
+        admission: Option<Admission>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
         let state = State {
             engine,
+            admission,
+            conns: BTreeMap::new(),
+            next_conn: 0,
             outputs: Vec::new(),
             clients: BTreeMap::new(),
             trunks: BTreeMap::new(),
@@ -107,7 +122,12 @@
             for output in outputs.drain(..) {
                 match output {
                     Output::ToClient { client, bytes } => {
-                        if let Some(outbox) = state.clients.get(&client) {
+                        if let Some((conn, outbox)) = state.clients.get(&client) {
+                            // A message to a client means that one of its calls has changed.
+                            if let Some(admission) = &mut state.admission {
+                                let calls = u32::try_from(state.engine.calls_of(client)).unwrap_or(u32::MAX);
+                                admission.active(self.clock.now().0, *conn, calls);
+                            }
                             outbox.push(|out| encode(Opcode::Text, &bytes, None, out));
                         }
                     }
@@ -195,16 +215,59 @@
         self.state.borrow().engine.live_calls()
     }
 
-    /// Client connections that are open.
-    pub fn clients(&self) -> usize {
-        self.state.borrow().clients.len()
+    /// A connection has been accepted by the kernel: whether it gets in.
+    pub fn arrive(&self, address: IpAddr) -> Result<Conn, (Reason, Duration)> {
+        let state = &mut *self.state.borrow_mut();
+        state.next_conn += 1;
+        let conn = Conn(state.next_conn);
+        if let Some(admission) = &mut state.admission {
+            match admission.arrive(self.clock.now().0, Arrival { conn, address }) {
+                Verdict::Accept => {}
+                Verdict::Replace(victim) => {
+                    if let Some(outbox) = state.conns.remove(&victim).flatten() {
+                        let payload = close_payload(CloseCode::LATER, "idle, and others want in");
+                        outbox.push(|out| encode(Opcode::Close, &payload, None, out));
+                        outbox.finish();
+                    }
+                }
+                Verdict::Refuse { reason, retry_after } => return Err((reason, retry_after)),
+            }
+        }
+        state.conns.insert(conn, None);
+        Ok(conn)
     }
 
-    pub fn add_client(&self, outbox: Rc<Outbox>) -> ClientId {
+    /// Its handshake is done: whether it stays.
+    pub fn shaken(&self, conn: Conn) -> Result<(), (Reason, Duration)> {
+        let state = &mut *self.state.borrow_mut();
+        match state.admission.as_mut().map(|a| a.shaken(self.clock.now().0, conn)) {
+            Some(Verdict::Refuse { reason, retry_after }) => Err((reason, retry_after)),
+            Some(_) => Ok(()),
+            // Without admission the limit on connections is all there is.
+            None if state.clients.len() >= self.settings.limits.connections => {
+                Err((Reason::Full, Duration::from_millis(self.settings.limits.retry_after_ms)))
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// A connection is gone, at whatever stage.
+    pub fn gone(&self, conn: Conn) {
+        let state = &mut *self.state.borrow_mut();
+        state.conns.remove(&conn);
+        if let Some(admission) = &mut state.admission {
+            admission.closed(self.clock.now().0, conn);
+        }
+    }
+
+    pub fn add_client(&self, conn: Conn, outbox: Rc<Outbox>) -> ClientId {
         let state = &mut *self.state.borrow_mut();
         state.next_client += 1;
         let id = ClientId(state.next_client);
-        state.clients.insert(id, outbox);
+        if let Some(known) = state.conns.get_mut(&conn) {
+            *known = Some(outbox.clone());
+        }
+        state.clients.insert(id, (conn, outbox));
         id
     }
 
@@ -224,13 +287,13 @@
     /// Bytes that wait to be written, over all connections.
     pub fn backlog(&self) -> usize {
         let state = self.state.borrow();
-        state.clients.values().chain(state.trunks.values()).map(|o| o.backlog()).sum()
+        state.clients.values().map(|(_, o)| o).chain(state.trunks.values()).map(|o| o.backlog()).sum()
     }
 
     /// Writes what waits and closes all connections of clients with this close code.
-    pub fn finish_clients(&self, code: fawnrouter_ws::CloseCode, reason: &str) {
-        for outbox in self.state.borrow().clients.values() {
-            let payload = fawnrouter_ws::close_payload(code, reason);
+    pub fn finish_clients(&self, code: CloseCode, reason: &str) {
+        for (_, outbox) in self.state.borrow().clients.values() {
+            let payload = close_payload(code, reason);
             outbox.push(|out| encode(Opcode::Close, &payload, None, out));
             outbox.finish();
         }
@@ -254,5 +317,17 @@
             connections = state.clients.len(),
             "counts"
         );
+        if let Some(admission) = &state.admission {
+            let seen = admission.snapshot(3);
+            for (reason, count) in &seen.refused {
+                tracing::info!(
+                    count,
+                    open = seen.open,
+                    handshakes = seen.handshakes,
+                    "refused: {}",
+                    reason.text()
+                );
+            }
+        }
     }
 }
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -9,6 +9,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use fawnrouter_admission::Admission;
 use fawnrouter_config::Settings;
 use fawnrouter_engine::fawnrouter::SettingsError;
 use fawnrouter_engine::{Engine, EngineSettings, Input};
@@ -32,6 +33,9 @@
     /// Signals cannot be caught.
     #[error("cannot catch signals: {0}")]
     Signals(io::Error),
+    /// The admission of connections refuses the settings.
+    #[error("admission: {0}")]
+    Admission(#[from] fawnrouter_admission::SettingsError),
     /// The decisions refuse the settings.
     #[error(transparent)]
     Settings(#[from] SettingsError),
@@ -76,10 +80,11 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(RunError::Signals)?;
     let words = settings.log.level >= fawnrouter_config::LogLevel::Debug;
     let engine = engine(settings.engine(fresh_seed(), words))?;
+    let admission = settings.admission(fresh_seed()).map(Admission::new).transpose()?;
     let file = folder.join(&settings.switches.file);
     let path = settings.listen.path.clone();
     let executor = Rc::new(LocalExecutor::new());
-    let core = Core::new(settings, engine, &executor);
+    let core = Core::new(settings, engine, admission, &executor);
     let all = async {
         let tasks = [
             executor.spawn(list::watch(core.clone(), file)),
@@ -155,11 +160,14 @@
             // Beyond the limit with its room for handshakes there is nobody to answer politely: closed at once.
             Ok((stream, _)) if under_way.get() >= most => drop(stream),
             Ok((stream, peer)) => {
-                let (terms, under_way) = (terms.clone(), under_way.clone());
+                let (serving, terms, under_way) = (core.clone(), terms.clone(), under_way.clone());
                 under_way.set(under_way.get() + 1);
-                let serving = core.clone();
+                let verdict = core.arrive(peer.ip());
                 core.spawn(async move {
-                    client::drive(serving, stream, peer, terms).await;
+                    match verdict {
+                        Ok(conn) => client::drive(serving, conn, stream, peer, terms).await,
+                        Err((reason, wait)) => client::turn_away(serving, stream, reason, wait).await,
+                    }
                     under_way.set(under_way.get() - 1);
                 });
             }
