One piece for what was written twice; a connection replaced during its upgrade is closed

Need: a reading of the whole change found the same steps in several places and one hole.

One function now rounds a Retry-After (was three), one gives a connection its last answer (two), one says goodbye to a client (two); legs of a switch and whether it is connected are asked of the call table (six places); the lab starts gateway and relay by one function, reads a load connection in one loop and lists a ready switch in one place. A call no longer keeps its expiry, which only its timer needs. Behaviour is the same.

The hole: a connection that had to make room while its 101 was being written was forgotten by the admission and stayed open uncounted. It is now closed with 1013; a test causes it.

--- a/crates/fawnrouter-engine/src/caller.rs
+++ b/crates/fawnrouter-engine/src/caller.rs
@@ -10,7 +10,7 @@
 use crate::engine::Engine;
 use crate::intake::Load;
 use crate::interface::{CallWord, ClientId, Output};
-use crate::status::Answer;
+use crate::status::{Answer, whole_seconds};
 use crate::table::{Call, Key, LegId, Stage};
 
 /// Methods that the gateway takes (RFC 3261 §20.5).
@@ -103,7 +103,7 @@
         let load = Load { calls: self.table.live(), pending: self.pending, of_client };
         if let Err((refusal, wait)) = self.intake.judge(load) {
             self.counters.not_taken += 1;
-            let wait = wait.as_secs_f64().ceil().max(1.0).to_string();
+            let wait = whole_seconds(wait).max(1).to_string();
             let reason = format!("SIP;cause=503;text=\"{}\"", refusal.text());
             let extra = [(Name::RetryAfter, wait.as_str()), (Name::Reason, reason.as_str())];
             return self.respond(client, &invite, 503, None, &extra);
@@ -128,14 +128,13 @@
             server: InviteServer::default(),
             stage: Stage::Routing,
             began: self.now,
-            expires: self.now.plus(left),
             out: None,
             attempts: 0,
             last: None,
             invite: Some(invite),
         };
         let words = (call.call_id.clone(), class_name, seen.number.clone());
-        self.table.due.set(Key::Call(id), call.expires);
+        self.table.due.set(Key::Call(id), self.now.plus(left));
         self.table.calls.insert(id, call);
         self.table.by_branch.insert((client, branch), id);
         if let Some(known) = self.table.clients.get_mut(&client) {
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -304,7 +304,7 @@
         };
         trunk.state = TrunkState::Up;
         trunk.backoff.reset();
-        for id in trunk.legs.iter().copied().collect::<Vec<_>>() {
+        for id in self.table.legs_of(server) {
             match self.table.legs.get_mut(&id).map(|l| &mut l.state) {
                 Some(LegState::Standing { orphan, revived, .. }) if *orphan => {
                     (*orphan, *revived) = (false, true);
@@ -324,8 +324,7 @@
             trunk.backoff.next_pause(&self.settings.backoff, unit)
         };
         self.table.due.set(Key::Trunk(server), self.now.plus(pause));
-        let legs = self.table.trunks.get(&server).map(|t| t.legs.iter().copied().collect::<Vec<_>>());
-        for id in legs.unwrap_or_default() {
+        for id in self.table.legs_of(server) {
             let Some(leg) = self.table.legs.get_mut(&id) else { continue };
             match &mut leg.state {
                 LegState::Out => {
@@ -396,9 +395,10 @@
     /// A switch that is off the list and whose connection is lost does not come back: its calls are cut at once.
     /// A list that names nobody for a while cuts nothing, as the connections stand.
     fn cut_lost(&mut self, server: ServerId) {
-        let lost = self.table.trunks.get(&server).filter(|t| !t.listed && t.state != TrunkState::Up);
-        let legs = lost.map(|t| t.legs.iter().copied().collect::<Vec<_>>());
-        for id in legs.unwrap_or_default() {
+        if self.table.is_up(server) || self.table.trunks.get(&server).is_none_or(|t| t.listed) {
+            return;
+        }
+        for id in self.table.legs_of(server) {
             match self.table.legs.get(&id).map(|l| &l.state) {
                 Some(LegState::Standing { .. }) => self.cut(id),
                 Some(LegState::Releasing { .. }) => drop(self.table.drop_leg(id)),
@@ -409,8 +409,7 @@
 
     /// A switch has restarted: calls from before, whose connection was lost, are not known to it.
     fn cut_revived(&mut self, server: ServerId) {
-        let legs = self.table.trunks.get(&server).map(|t| t.legs.iter().copied().collect::<Vec<_>>());
-        for id in legs.unwrap_or_default() {
+        for id in self.table.legs_of(server) {
             let state = self.table.legs.get(&id).map(|l| &l.state);
             if matches!(state, Some(LegState::Standing { orphan, revived, .. }) if *orphan || *revived) {
                 self.cut(id);
--- a/crates/fawnrouter-engine/src/lib.rs
+++ b/crates/fawnrouter-engine/src/lib.rs
@@ -34,4 +34,4 @@
 pub use fawnrouter_sip as sip;
 pub use intake::{Intake, IntakeLimits, Load, Refusal};
 pub use interface::*;
-pub use status::{Answer, Finality, Meaning, Told, answer_to_caller, meaning, overload_words};
+pub use status::{Answer, Finality, Meaning, Told, answer_to_caller, meaning, overload_words, whole_seconds};
--- a/crates/fawnrouter-engine/src/status.rs
+++ b/crates/fawnrouter-engine/src/status.rs
@@ -119,9 +119,15 @@
     }
 }
 
-/// Whole seconds, rounded up: a caller that comes earlier than it should is worse than one a little later.
 fn seconds(wait: Duration) -> Option<u64> {
-    (!wait.is_zero()).then(|| wait.as_secs() + u64::from(wait.subsec_nanos() > 0))
+    (!wait.is_zero()).then(|| whole_seconds(wait))
+}
+
+/// The seconds of a Retry-After, rounded up: a caller that comes earlier than it should is worse than one a little
+/// later.
+#[must_use]
+pub fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_secs() + u64::from(wait.subsec_nanos() > 0)
 }
 
 /// A switch's own overload control in the Via it sends back (RFC 7339 §4, RFC 7415 §3): a share of set-ups to hold
--- a/crates/fawnrouter-engine/src/table.rs
+++ b/crates/fawnrouter-engine/src/table.rs
@@ -49,7 +49,6 @@
     pub server: InviteServer,
     pub stage: Stage,
     pub began: Time,
-    pub expires: Time,
     pub out: Option<LegId>,
     pub attempts: u32,
     /// The last final response of a switch.
@@ -189,6 +188,16 @@
         self.calls.len() - self.ended_count
     }
 
+    /// Whether there is a connection to a switch.
+    pub fn is_up(&self, server: ServerId) -> bool {
+        self.trunks.get(&server).is_some_and(|t| t.state == TrunkState::Up)
+    }
+
+    /// The legs to a switch, as they are now.
+    pub fn legs_of(&self, server: ServerId) -> Vec<LegId> {
+        self.trunks.get(&server).map(|t| t.legs.iter().copied().collect()).unwrap_or_default()
+    }
+
     /// Forgets a call.
     pub fn drop_call(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
--- a/crates/fawnrouter-engine/src/trunk.rs
+++ b/crates/fawnrouter-engine/src/trunk.rs
@@ -11,7 +11,7 @@
 use crate::engine::Engine;
 use crate::interface::{CallWord, Output};
 use crate::status::{self, Finality, Told};
-use crate::table::{Key, Leg, LegId, LegState, Stage, TrunkState};
+use crate::table::{Key, Leg, LegId, LegState, Stage};
 
 /// Fields of the caller's INVITE that the gateway writes itself or that concern one hop only. All others pass.
 const OWN: [&str; 15] = [
@@ -33,22 +33,21 @@
 ];
 
 impl Engine {
-    fn send_to_trunk(&mut self, server: ServerId, bytes: Vec<u8>) -> bool {
-        let up = self.table.trunks.get(&server).is_some_and(|t| t.state == TrunkState::Up);
-        if up {
+    /// Sends if there is a connection. Without one, what is lost is an ACK or a CANCEL of a switch that is away.
+    fn send_to_trunk(&mut self, server: ServerId, bytes: Vec<u8>) {
+        if self.table.is_up(server) {
             self.out.push(Output::ToTrunk { server, bytes });
         }
-        up
     }
 
     /// Carries out the controller's decision to send a set-up.
     pub(crate) fn issue(&mut self, id: CallId, server: ServerId, within: Duration) {
+        let up = self.table.is_up(server);
         let Some(call) = self.table.calls.get_mut(&id).filter(|c| matches!(c.stage, Stage::Routing)) else {
             return;
         };
         let attempt = AttemptNo(call.attempts);
         call.attempts += 1;
-        let up = self.table.trunks.get(&server).is_some_and(|t| t.state == TrunkState::Up);
         let Some((invite, address)) = call
             .invite
             .as_deref()
@@ -199,8 +198,8 @@
 
     pub(crate) fn send_bye(&mut self, id: LegId) {
         let via = self.own_via();
+        let up = self.table.legs.get(&id).is_some_and(|leg| self.table.is_up(leg.server));
         let Some(leg) = self.table.legs.get_mut(&id) else { return };
-        let up = self.table.trunks.get(&leg.server).is_some_and(|t| t.state == TrunkState::Up);
         let LegState::Releasing { dialog, unsent } = &mut leg.state else { return };
         if up && *unsent {
             *unsent = false;
--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -140,17 +140,22 @@
             contact: String::new(),
         };
         let stand = Stand::open(id, make, cold, &self.tap, &self.executor)?;
+        self.list_ready(&stand, pool, plan, cold);
+        self.stands.borrow_mut().insert(id, stand);
+        Ok(())
+    }
+
+    /// The truth names a switch that takes calls.
+    fn list_ready(&self, stand: &Stand, pool: u32, plan: &SwitchPlan, cold: bool) {
         let line = SwitchLine {
-            id,
+            id: stand.id,
             address: stand.address,
             zone: plan.zone.clone(),
             pool,
             state: SwitchState::Ready,
             up_since_ms: cold.then(unix_ms),
         };
-        self.stands.borrow_mut().insert(id, stand);
-        self.registry.borrow_mut().truth.insert(id, line);
-        Ok(())
+        self.registry.borrow_mut().truth.insert(stand.id, line);
     }
 
     /// Starts all gateways and the callers' connections to them.
@@ -249,16 +254,7 @@
                 let Some(stand) = stand(id) else { return Ok(()) };
                 stand.start_cold().await?;
                 let pool = id - FIRST_SWITCH;
-                let plan = &self.script.switches[pool as usize];
-                let line = SwitchLine {
-                    id,
-                    address: stand.address,
-                    zone: plan.zone.clone(),
-                    pool,
-                    state: SwitchState::Ready,
-                    up_since_ms: Some(unix_ms()),
-                };
-                self.registry.borrow_mut().truth.insert(id, line);
+                self.list_ready(&stand, pool, &self.script.switches[pool as usize], true);
                 self.changed();
             }
             Act::Drain(id) => {
--- a/crates/fawnrouter-lab/src/fleet.rs
+++ b/crates/fawnrouter-lab/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::baseline::RoundRobin;
 use crate::script::{ClassPlan, Script};
 
-/// A gateway process.
+/// A gateway process, or the relay that is measured beside it.
 pub struct GatewayProcess {
     child: Child,
     /// Where callers connect.
@@ -38,6 +38,18 @@
         if baseline {
             command.arg("--baseline");
         }
+        Self::spawn(command)
+    }
+
+    /// Starts the null relay in front of this far end.
+    pub fn relay(far: SocketAddr) -> io::Result<Self> {
+        let mut command = Command::new(std::env::current_exe()?);
+        command.arg("relay").arg("--far").arg(far.to_string());
+        Self::spawn(command)
+    }
+
+    /// Starts a process that prints a ready line, and waits for it.
+    fn spawn(mut command: Command) -> io::Result<Self> {
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
         let mut ready = String::new();
         if let Some(out) = child.stdout.take() {
@@ -51,7 +63,7 @@
             None => {
                 let _ = child.kill();
                 let _ = child.wait();
-                Err(io::Error::other(format!("the gateway did not start: {ready:?}")))
+                Err(io::Error::other(format!("the process did not start: {ready:?}")))
             }
         }
     }
--- a/crates/fawnrouter-lab/src/load.rs
+++ b/crates/fawnrouter-lab/src/load.rs
@@ -3,9 +3,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::{self, BufRead, BufReader, Read};
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitCode, Stdio};
+use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -191,6 +191,28 @@
         self.lines[line].push(|out| encode(Opcode::Text, bytes, Some([3, 1, 4, 1]), out));
     }
 
+    /// Serves a connection to its end; `take` gets each message.
+    async fn serve(self: Rc<Self>, line: usize, stream: &Async<TcpStream>, take: impl Fn(&Message)) {
+        let reading = async {
+            let mut frames = Decoder::new(Role::Client, 1 << 20);
+            let mut buffer = vec![0; 64 * 1024];
+            while let Ok(got @ 1..) = stream.read_with(|mut s| s.read(&mut buffer)).await {
+                let mut input = &buffer[..got];
+                while let Ok(Some(event)) = frames.feed(&mut input) {
+                    if let Event::Text(text) = event
+                        && let Ok(message) = Message::parse(text.as_bytes(), &Limits::default())
+                    {
+                        take(&message);
+                    }
+                }
+            }
+        };
+        future::or(reading, async {
+            let _ = self.lines[line].write_to(stream).await;
+        })
+        .await;
+    }
+
     fn call(&self, n: u64) {
         let line = n as usize % self.lines.len();
         let mut draft = Draft::request(Method::Invite, &format!("sip:+9148{n:08}@gateway.invalid"));
@@ -286,24 +308,7 @@
     for (n, stream) in streams.into_iter().enumerate() {
         let load = load.clone();
         tasks.push(executor.spawn(async move {
-            let reading = async {
-                let mut frames = Decoder::new(Role::Client, 1 << 20);
-                let mut buffer = vec![0; 64 * 1024];
-                while let Ok(got @ 1..) = stream.read_with(|mut s| s.read(&mut buffer)).await {
-                    let mut input = &buffer[..got];
-                    while let Ok(Some(event)) = frames.feed(&mut input) {
-                        if let Event::Text(text) = event
-                            && let Ok(message) = Message::parse(text.as_bytes(), &Limits::default())
-                        {
-                            load.take(&message);
-                        }
-                    }
-                }
-            };
-            future::or(reading, async {
-                let _ = load.lines[n].write_to(&stream).await;
-            })
-            .await;
+            load.clone().serve(n, &stream, |message| load.take(message)).await;
         }));
     }
     // A tenth of the time to warm up, which is not counted.
@@ -341,15 +346,6 @@
     })
 }
 
-struct Relay(Child);
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 fn bench_settings(connections: usize) -> io::Result<Settings> {
     let script = Script::parse("demo-day.yaml", include_str!("../../../examples/demo-day.yaml"));
     let mut settings = settings(&script.map_err(io::Error::other)?, 0, 1);
@@ -382,18 +378,8 @@
     };
     let run = async {
         let behind = far(true)?;
-        let mut child = Command::new(std::env::current_exe()?)
-            .args(["relay", "--far", &behind.to_string()])
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let mut line = String::new();
-        if let Some(out) = child.stdout.take() {
-            BufReader::new(out).read_line(&mut line)?;
-        }
-        let relay = Relay(child);
-        let address = line.trim().strip_prefix("ready ws://").and_then(|r| r.strip_suffix('/'));
-        let address = address.and_then(|a| a.parse().ok()).ok_or_else(|| io::Error::other("no relay"))?;
-        let plain = drive(&executor, address, relay.0.id(), options).await?;
+        let relay = GatewayProcess::relay(behind)?;
+        let plain = drive(&executor, relay.address, relay.id(), options).await?;
         drop(relay);
 
         let folder = tempfile::tempdir()?;
@@ -457,32 +443,18 @@
         let stood = Rc::new(Cell::new(0u64));
         let counted = stood.clone();
         let task = executor.spawn(async move {
-            let reading = async {
-                let mut frames = Decoder::new(Role::Client, 1 << 20);
-                let mut buffer = vec![0; 64 * 1024];
-                while let Ok(got @ 1..) = stream.read_with(|mut s| s.read(&mut buffer)).await {
-                    let mut input = &buffer[..got];
-                    while let Ok(Some(event)) = frames.feed(&mut input) {
-                        let Event::Text(text) = event else { continue };
-                        let Ok(message) = Message::parse(text.as_bytes(), &Limits::default()) else {
-                            continue;
-                        };
-                        // Acknowledged and left standing.
-                        if message.status() == Some(200)
-                            && let Ok(mut dialog) = Dialog::caller(&message, "sip:gateway.invalid", 1)
-                        {
-                            let via = format!("SIP/2.0/WS c.invalid;branch=z9hG4bKa{}", dialog.call_id);
-                            let bytes = dialog.request(Method::Ack, &via).finish(b"");
-                            writer.send(0, &bytes);
-                            counted.set(counted.get() + 1);
-                        }
-                    }
+            let stands = |message: &Message| {
+                // Acknowledged and left standing.
+                if message.status() == Some(200)
+                    && let Ok(mut dialog) = Dialog::caller(message, "sip:gateway.invalid", 1)
+                {
+                    let via = format!("SIP/2.0/WS c.invalid;branch=z9hG4bKa{}", dialog.call_id);
+                    let bytes = dialog.request(Method::Ack, &via).finish(b"");
+                    writer.send(0, &bytes);
+                    counted.set(counted.get() + 1);
                 }
             };
-            future::or(reading, async {
-                let _ = writer.lines[0].write_to(&stream).await;
-            })
-            .await;
+            writer.clone().serve(0, &stream, stands).await;
         });
         for n in 0..calls {
             load.call(n);
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -8,7 +8,7 @@
 
 use async_io::{Async, Timer};
 use fawnrouter_admission::{Conn, Reason};
-use fawnrouter_engine::Input;
+use fawnrouter_engine::{Input, whole_seconds};
 use fawnrouter_sip::{Limits, Message};
 use fawnrouter_ws::{
     CloseCode, Decoder, Event, HttpLimits, Opcode, Origins, Role, Terms, accept, close_payload, encode,
@@ -61,20 +61,21 @@
 /// Tells a connection that does not get in when to come back. The answer goes out before its request is read, and
 /// what it sends is read for a moment, so that the answer is not lost to a reset.
 pub async fn turn_away(core: Rc<Core>, stream: Async<TcpStream>, reason: Reason, wait: Duration) {
-    let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
-    let answer = refuse(503, reason.text(), Some(seconds));
-    let telling = async {
-        let mut writer = &stream;
-        let _ = writer.write_all(&answer).await;
-        let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
-        while let Ok(Some(())) = read_some(&core, &stream, |_| ()).await {}
-    };
-    future::or(telling, async {
+    let answer = refuse(503, reason.text(), Some(whole_seconds(wait)));
+    future::or(tell_and_end(&core, &stream, &answer), async {
         Timer::after(LAST_WORDS).await;
     })
     .await;
 }
 
+/// Writes the last answer and reads what still comes, so that the answer is not lost to a reset. Ends when the peer
+/// does; whoever calls it sets a time.
+async fn tell_and_end(core: &Core, mut stream: &Async<TcpStream>, answer: &[u8]) {
+    let _ = stream.write_all(answer).await;
+    let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
+    while let Ok(Some(())) = read_some(core, stream, |_| ()).await {}
+}
+
 async fn serve(core: &Rc<Core>, conn: Conn, stream: Async<TcpStream>, peer: SocketAddr, terms: &Terms) {
     let _ = stream.get_ref().set_nodelay(true);
     let limit = Duration::from_millis(core.settings.listen.handshake_ms);
@@ -135,9 +136,7 @@
         let answer =
             match accept(&bytes, terms).map(|done| done.map(|accepted| (accepted, core.shaken(conn)))) {
                 Ok(None) => continue,
-                Ok(Some((_, Err((reason, wait))))) => {
-                    refuse(503, reason.text(), Some(wait.as_secs() + u64::from(wait.subsec_nanos() > 0)))
-                }
+                Ok(Some((_, Err((reason, wait))))) => refuse(503, reason.text(), Some(whole_seconds(wait))),
                 Ok(Some((accepted, Ok(())))) => {
                     let mut stream = stream;
                     stream.write_all(&accepted.response).await.ok()?;
@@ -145,11 +144,7 @@
                 }
                 Err(error) => refuse(error.status(), &error.to_string(), None),
             };
-        let mut stream = stream;
-        let _ = stream.write_all(&answer).await;
-        let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
-        // The rest of the request is read, so that the answer is not lost to a reset.
-        while let Ok(Some(())) = read_some(core, stream, |_| ()).await {}
+        tell_and_end(core, stream, &answer).await;
         return None;
     }
 }
--- a/crates/fawnrouterd/src/core.rs
+++ b/crates/fawnrouterd/src/core.rs
@@ -225,9 +225,7 @@
                 Verdict::Accept => {}
                 Verdict::Replace(victim) => {
                     if let Some(outbox) = state.conns.remove(&victim).flatten() {
-                        let payload = close_payload(CloseCode::LATER, "idle, and others want in");
-                        outbox.push(|out| encode(Opcode::Close, &payload, None, out));
-                        outbox.finish();
+                        close(&outbox, CloseCode::LATER, MADE_ROOM);
                     }
                 }
                 Verdict::Refuse { reason, retry_after } => return Err((reason, retry_after)),
@@ -264,8 +262,11 @@
         let state = &mut *self.state.borrow_mut();
         state.next_client += 1;
         let id = ClientId(state.next_client);
-        if let Some(known) = state.conns.get_mut(&conn) {
-            *known = Some(outbox.clone());
+        match state.conns.get_mut(&conn) {
+            Some(known) => *known = Some(outbox.clone()),
+            // Guards against a connection that had to make room while its 101 was being written: nobody would count
+            // it. It could harm nobody else, as its place has been given away.
+            None => close(&outbox, CloseCode::LATER, MADE_ROOM),
         }
         state.clients.insert(id, (conn, outbox));
         id
@@ -293,9 +294,7 @@
     /// Writes what waits and closes all connections of clients with this close code.
     pub fn finish_clients(&self, code: CloseCode, reason: &str) {
         for (_, outbox) in self.state.borrow().clients.values() {
-            let payload = close_payload(code, reason);
-            outbox.push(|out| encode(Opcode::Close, &payload, None, out));
-            outbox.finish();
+            close(outbox, code, reason);
         }
     }
 
@@ -331,3 +330,39 @@
         }
     }
 }
+
+/// Told to a connection that is closed so that another gets in.
+const MADE_ROOM: &str = "idle, and others want in";
+
+/// Says goodbye to a client, and takes nothing more for it.
+fn close(outbox: &Outbox, code: CloseCode, reason: &str) {
+    let payload = close_payload(code, reason);
+    outbox.push(|out| encode(Opcode::Close, &payload, None, out));
+    outbox.finish();
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_that_made_room_before_its_upgrade_was_written_is_closed() {
+        let text = "gateway: { number: 0, count: 1, seed: 1 }\nlisten: { address: '127.0.0.1:0' }\n\
+                    switches: { file: s.yaml }\nclasses: [{ name: a, aim_ms: 1, deadline_ms: 2 }]\n\
+                    limits: { connections: 1 }\nadmission: {}\n";
+        let settings = fawnrouter_config::parse("t.yaml", text).expect("sound settings");
+        let engine = Engine::new(settings.engine(1, false)).expect("sound settings");
+        let admission = settings.admission(1).map(|a| Admission::new(a).expect("sound settings"));
+        let core = Core::new(settings, engine, admission, &Rc::new(LocalExecutor::new()));
+        let address = IpAddr::from([127, 0, 0, 1]);
+        let first = core.arrive(address).expect("room");
+        core.shaken(first).expect("room");
+        let second = core.arrive(address).expect("the idle one makes room");
+        let outboxes = [first, second].map(|conn| {
+            let outbox = Rc::new(Outbox::new(1000));
+            core.add_client(conn, outbox.clone());
+            outbox.backlog()
+        });
+        assert!(outboxes[0] > 0 && outboxes[1] == 0, "{outboxes:?}");
+    }
+}
