Digest authentication and the Forwarded field, decided without I/O

Need: known clients are to be told from strangers before they can have a reserve or limits of their own, and behind a proxy every client has the proxy's address.

Change: crate fawnrouter-digest (RFC 7616, RFC 8760, RFC 3261 §22): nonces that nobody has to remember, bound to their connection; replays by a rising count; MD5 only where asked for; wrong secrets and unknown names look alike. fawnrouter-ws reads Forwarded (RFC 7239); SIP fields whose commas part no values are read whole.

--- /dev/null
+++ b/crates/fawnrouter-digest/src/lib.rs
@@ -0,0 +1,20 @@
+#![forbid(unsafe_code)]
+//! Who a client is: digest access authentication (RFC 7616) as SIP uses it (RFC 3261 §22, RFC 8760). No socket and no
+//! clock: each call gets the time, and the same calls give the same answers.
+//!
+//! | module | what is in it |
+//! | --- | --- |
+//! | `credentials` | the Authorization field, with limits |
+//! | `hash` | the algorithms, and what they make of a password |
+//! | `nonce` | nonces that nobody has to remember |
+//! | `guard` | the decision: known, challenged, refused |
+
+mod credentials;
+mod guard;
+mod hash;
+mod nonce;
+
+pub use credentials::{Credentials, CredentialsError};
+pub use guard::{Checked, Guard, GuardSettings, Proof, Request, Secret, Why};
+pub use hash::{Algorithm, Ha1, HashError, answer, ha1, proof_of_server};
+pub use nonce::{NonceError, Nonces};
--- a/crates/fawnrouter-sip/src/message.rs
+++ b/crates/fawnrouter-sip/src/message.rs
@@ -143,7 +143,8 @@
     ProxyRequire "Proxy-Require", Allow "Allow", Unsupported "Unsupported", RetryAfter "Retry-After",
     Reason "Reason", SessionId "Session-ID", Subject "Subject" b's', ContentEncoding "Content-Encoding" b'e',
     UserAgent "User-Agent", Server "Server", Accept "Accept", Warning "Warning", Priority "Priority",
-    ResourcePriority "Resource-Priority",
+    ResourcePriority "Resource-Priority", Authorization "Authorization", WwwAuthenticate "WWW-Authenticate",
+    AuthenticationInfo "Authentication-Info",
 }
 
 /// One field of a message.
@@ -313,6 +314,15 @@
         }
     }
 
+    /// The method of a request as written; empty for a response.
+    #[must_use]
+    pub fn method_text(&self) -> &str {
+        match self.start() {
+            Start::Request { name, .. } => name,
+            Start::Response { .. } => "",
+        }
+    }
+
     /// The fields with their names as written and their values, in order.
     pub fn fields(&self) -> impl Iterator<Item = (Name, &str, &str)> {
         self.fields.iter().map(|f| (f.name, self.cut(f.raw_name), self.cut(f.value)))
@@ -336,6 +346,12 @@
         fields.flat_map(|f| value::split_values(self.cut(f.value)))
     }
 
+    /// The value of every field of this name as a whole: for those in which commas part no values (§7.3.1), as
+    /// Authorization.
+    pub fn values_whole(&self, name: Name) -> impl Iterator<Item = &str> {
+        self.fields.iter().filter(move |f| f.name == name).map(|f| self.cut(f.value))
+    }
+
     /// The body.
     #[must_use]
     pub fn body(&self) -> &[u8] {
--- a/crates/fawnrouter-sip/src/stream.rs
+++ b/crates/fawnrouter-sip/src/stream.rs
@@ -40,6 +40,12 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Bytes of what is not a whole message yet.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.buffer.len() - self.read
+    }
+
     /// The next whole message, if there is one.
     ///
     /// # Errors
--- a/crates/fawnrouter-sip/src/write.rs
+++ b/crates/fawnrouter-sip/src/write.rs
@@ -142,6 +142,7 @@
         183 => "Session Progress",
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
         403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
--- a/crates/fawnrouter-ws/src/frame.rs
+++ b/crates/fawnrouter-ws/src/frame.rs
@@ -189,6 +189,12 @@
         }
     }
 
+    /// Bytes of a message that is not whole yet.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        if self.given { self.control.len() } else { self.message.len() + self.control.len() }
+    }
+
     /// Takes bytes from the front of `input` up to the end of the next message or control frame. `None` means that
     /// all of it was taken, or that the connection has been closed.
     ///
--- a/crates/fawnrouter-ws/src/handshake.rs
+++ b/crates/fawnrouter-ws/src/handshake.rs
@@ -85,6 +85,8 @@
     pub consumed: usize,
     /// The sub-protocol.
     pub protocol: String,
+    /// Values of the Forwarded fields, in order; see [`crate::forwarded_for`].
+    pub forwarded: Vec<String>,
 }
 
 fn accept_key(key: &str) -> String {
@@ -107,7 +109,8 @@
          Sec-WebSocket-Accept: {}\r\nSec-WebSocket-Protocol: {protocol}\r\n\r\n",
         accept_key(key)
     );
-    Ok(Some(Accepted { response: response.into_bytes(), consumed: head.len, protocol }))
+    let forwarded = head.all("Forwarded").map(str::to_owned).collect();
+    Ok(Some(Accepted { response: response.into_bytes(), consumed: head.len, protocol, forwarded }))
 }
 
 fn agree(head: &Head<'_, RequestLine<'_>>, terms: &Terms) -> Result<String, HandshakeError> {
@@ -146,6 +149,7 @@
         400 => "Bad Request",
         403 => "Forbidden",
         404 => "Not Found",
+        408 => "Request Timeout",
         426 => "Upgrade Required",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
--- a/crates/fawnrouter-ws/src/lib.rs
+++ b/crates/fawnrouter-ws/src/lib.rs
@@ -2,10 +2,12 @@
 //! WebSocket without I/O: the HTTP/1.1 head that asks for it (RFC 9112), the opening handshake of both sides
 //! (RFC 6455 §4) with its sub-protocol and Origin, and the frames (§5, §7) with their limits.
 
+mod forwarded;
 mod frame;
 mod handshake;
 mod http;
 
+pub use forwarded::{ForwardedError, forwarded_for};
 pub use frame::{
     CloseCode, Decoder, Event, FrameError, Opcode, Role, close_payload, encode, encode_fragment,
 };
