--- a/crates/fawnrouter-admission/src/admission.rs
+++ b/crates/fawnrouter-admission/src/admission.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::descriptors::Descriptors;
 use crate::limiter::{Limiter, Rate};
 use crate::reserve::{Reserve, ReserveSettings};
+use crate::spread::Spread;
 
 /// Bits of an address that make its prefix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,7 +22,7 @@
 /// All that the decision goes by.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
-    /// Connections in all.
+    /// Connections in all, beside those that have yet to show what they are (`handshakes`).
     pub total: usize,
     /// Strangers' connections of one address.
     pub per_address: usize,
@@ -35,10 +37,20 @@
     pub rate: Rate,
     /// Addresses whose rate is kept exactly.
     pub addresses: usize,
-    /// Handshakes under way, of all addresses.
+    /// Handshakes under way, and connections on probation, of all addresses.
     pub handshakes: usize,
-    /// Handshakes under way of one address.
+    /// The same of one address.
     pub handshakes_per_address: usize,
+    /// Networks of forwarders that are believed when they say where a connection comes from (RFC 7239). Their own
+    /// addresses have no cap and no rate; what they name has.
+    pub forwarders: Vec<(IpAddr, u8)>,
+    /// A connection for which strangers have no place may stay this long to show that it is a known client's; zero
+    /// where nobody can.
+    pub prove: Duration,
+    /// A stranger without a call that does nothing for this long is closed; zero: never.
+    pub idle: Duration,
+    /// A connection without a call that takes none of the bytes that wait for it for this long is closed; zero: never.
+    pub slow: Duration,
     /// The part kept for known clients.
     pub reserve: ReserveSettings,
     /// Connections of one known client, where it has no limit of its own.
@@ -49,6 +61,18 @@
     pub seed: u64,
 }
 
+impl AdmissionSettings {
+    /// The same with no more connections and handshakes than there are descriptors for; the reserve keeps its shares.
+    #[must_use]
+    pub fn within(mut self, descriptors: &Descriptors) -> Self {
+        let (total, handshakes) = descriptors.divide(self.total, self.handshakes);
+        let part = |n: usize| (n as u128 * total as u128 / self.total.max(1) as u128) as usize;
+        (self.reserve.least, self.reserve.most) = (part(self.reserve.least), part(self.reserve.most));
+        (self.total, self.handshakes) = (total, handshakes);
+        self
+    }
+}
+
 /// Settings that no gateway can work with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
@@ -95,6 +119,8 @@
     Full,
     /// The cap of its client.
     Client,
+    /// The process has no descriptor left for it.
+    Descriptors,
 }
 
 impl Reason {
@@ -110,6 +136,33 @@
             Self::Reserved => "the places for unknown clients are taken",
             Self::Full => "all places are taken",
             Self::Client => "too many connections of this client",
+            Self::Descriptors => "no descriptor is left",
+        }
+    }
+}
+
+/// Why a connection that was in is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Eviction {
+    /// It was idle, and another needed the place.
+    MadeRoom,
+    /// It did nothing for too long.
+    Idle,
+    /// It did not read.
+    Slow,
+    /// It did not show in time that it is a known client's.
+    Unproven,
+}
+
+impl Eviction {
+    /// A word for logs and the close frame.
+    #[must_use]
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::MadeRoom => "idle, and others want in",
+            Self::Idle => "idle for too long",
+            Self::Slow => "does not read",
+            Self::Unproven => "places for unknown clients are taken",
         }
     }
 }
@@ -119,7 +172,11 @@
 pub enum Verdict {
     /// It gets in.
     Accept,
-    /// It gets in, and this one is closed to make room for it: a stranger without a call, idle for longest.
+    /// It gets in for a time ([`AdmissionSettings::prove`]), in which it may show that it is a known client's; as a
+    /// stranger it gets nothing.
+    Probation,
+    /// It gets in, and this one is closed to make room for it: one without a call, idle for longest, or the handshake
+    /// that takes longest.
     Replace(Conn),
     /// It does not.
     Refuse {
@@ -133,19 +190,31 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Handshake,
+    Probation,
     Stranger,
     Known,
 }
 
+impl Stage {
+    /// It has yet to show what it is.
+    const fn unproven(self) -> bool {
+        matches!(self, Self::Handshake | Self::Probation)
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     address: IpAddr,
+    /// It counts against its address: not if a forwarder has yet to say where it comes from, nor once it is known.
+    counted: bool,
     stage: Stage,
     client: Option<Arc<str>>,
     /// Calls standing or out.
     calls: u32,
     /// Since when it has been idle.
     idle_since: Duration,
+    /// Bytes that it had taken in all when it last took some, and when that was; `None` if none wait.
+    stuck: Option<(u64, Duration)>,
 }
 
 /// What one address or client holds.
@@ -162,7 +231,7 @@
 pub struct Snapshot {
     /// Open connections, handshakes included.
     pub open: usize,
-    /// Handshakes under way.
+    /// Handshakes under way, and connections on probation.
     pub handshakes: usize,
     /// Connections of known clients.
     pub known: usize,
@@ -170,6 +239,8 @@
     pub reserve: usize,
     /// Refusals by reason.
     pub refused: BTreeMap<Reason, u64>,
+    /// Connections that were in and were closed, by reason.
+    pub evicted: BTreeMap<Eviction, u64>,
     /// The addresses that hold most, most first.
     pub addresses: Vec<Holding>,
     /// The known clients that hold most, most first.
@@ -180,6 +251,10 @@
 
 /// Addresses that an operator may block at once.
 const MOST_BLOCKED: usize = 10_000;
+/// A handshake this old gives way to a newcomer when all places for handshakes are taken: an honest one takes a few
+/// round trips, and those that are drawn out on purpose are the oldest. Harms honest clients whose round trip is
+/// longer, while such a flood lasts.
+const SLOW_HANDSHAKE: Duration = Duration::from_millis(200);
 
 /// The decisions of one gateway.
 #[derive(Debug)]
@@ -190,16 +265,20 @@
     conns: BTreeMap<Conn, Entry>,
     by_address: BTreeMap<IpAddr, usize>,
     by_prefix: BTreeMap<(IpAddr, u8), usize>,
-    handshakes_by_address: BTreeMap<IpAddr, usize>,
+    unproven_by_address: BTreeMap<IpAddr, usize>,
     by_client: BTreeMap<Arc<str>, usize>,
     client_limits: BTreeMap<Arc<str>, usize>,
     /// Strangers without a call, idle for longest first.
     idle: BTreeSet<(Duration, Conn)>,
-    handshakes: usize,
+    /// Known clients' connections without a call, by client, idle for longest first.
+    idle_known: BTreeSet<(Arc<str>, Duration, Conn)>,
+    /// Those that have yet to show what they are, oldest first.
+    unproven: BTreeSet<(Duration, Conn)>,
     known: usize,
     blocked: BTreeMap<IpAddr, Duration>,
     refused: BTreeMap<Reason, u64>,
-    spread: u64,
+    evicted: BTreeMap<Eviction, u64>,
+    spread: Spread,
     now: Duration,
 }
 
@@ -244,7 +323,8 @@
             return Err(SettingsError::Zero(name));
         }
         let too_long = |address: &IpAddr, bits: u8| bits > if address.is_ipv4() { 32 } else { 128 };
-        let exceptions = settings.exceptions.iter().any(|(a, bits, _)| too_long(a, *bits));
+        let exceptions = settings.exceptions.iter().any(|(a, bits, _)| too_long(a, *bits))
+            || settings.forwarders.iter().any(|(a, bits)| too_long(a, *bits));
         if settings.prefixes.v4 > 32 || settings.prefixes.v6 > 128 || exceptions {
             return Err(SettingsError::Prefix);
         }
@@ -254,24 +334,26 @@
         Ok(Self {
             limiter: Limiter::new(settings.rate, settings.addresses, settings.seed),
             reserve: Reserve::new(settings.reserve),
+            spread: Spread::new(settings.seed),
             settings,
             conns: BTreeMap::new(),
             by_address: BTreeMap::new(),
             by_prefix: BTreeMap::new(),
-            handshakes_by_address: BTreeMap::new(),
+            unproven_by_address: BTreeMap::new(),
             by_client: BTreeMap::new(),
             client_limits: BTreeMap::new(),
             idle: BTreeSet::new(),
-            handshakes: 0,
+            idle_known: BTreeSet::new(),
+            unproven: BTreeSet::new(),
             known: 0,
             blocked: BTreeMap::new(),
             refused: BTreeMap::new(),
-            spread: 0,
+            evicted: BTreeMap::new(),
             now: Duration::ZERO,
         })
     }
 
-    /// Gives known clients limits of their own.
+    /// Gives known clients limits of their own. Connections that are open stay.
     pub fn set_client_limits(&mut self, limits: impl IntoIterator<Item = (Arc<str>, usize)>) {
         self.client_limits = limits.into_iter().collect();
     }
@@ -291,11 +373,26 @@
 
     fn refuse(&mut self, reason: Reason, least: Duration) -> Verdict {
         *self.refused.entry(reason).or_default() += 1;
-        // A low-discrepancy sequence (golden ratio): those refused together come back one after the other.
-        self.spread = self.spread.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let part = (self.spread ^ self.settings.seed) as f64 / u64::MAX as f64;
-        let retry_after = least.max(self.settings.retry_after) + self.settings.retry_after.mul_f64(part);
-        Verdict::Refuse { reason, retry_after }
+        Verdict::Refuse { reason, retry_after: self.spread.next(least, self.settings.retry_after) }
+    }
+
+    /// Refuses a connection for a cause outside this decision, such as missing descriptors, and counts it here.
+    pub fn refuse_for(&mut self, now: Duration, reason: Reason) -> Duration {
+        self.now = self.now.max(now);
+        match self.refuse(reason, Duration::ZERO) {
+            Verdict::Refuse { retry_after, .. } => retry_after,
+            _ => self.settings.retry_after,
+        }
+    }
+
+    fn evict(&mut self, conn: Conn, why: Eviction) {
+        *self.evicted.entry(why).or_default() += 1;
+        self.remove(conn);
+    }
+
+    /// Places taken by those who have shown what they are.
+    fn placed(&self) -> usize {
+        self.conns.len() - self.unproven.len()
     }
 
     /// Places that strangers may use now.
@@ -304,14 +401,30 @@
         self.settings.total.saturating_sub(self.known + unused)
     }
 
-    /// A connection has come. If it gets in, it is in its handshake.
-    pub fn arrive(&mut self, now: Duration, arrival: Arrival) -> Verdict {
-        self.now = self.now.max(now);
-        self.reserve.note(self.now, self.known);
-        let Arrival { conn, address } = arrival;
+    /// Whether this address is a forwarder's, who will say where the connection comes from.
+    #[must_use]
+    pub fn is_forwarder(&self, address: IpAddr) -> bool {
+        self.settings.forwarders.iter().any(|(network, bits)| {
+            network.is_ipv4() == address.is_ipv4() && prefix_of(*network, *bits) == prefix_of(address, *bits)
+        })
+    }
+
+    /// Where a connection comes from, by what the forwarders on its way said, the last one last: the nearest address
+    /// that is no forwarder's. Nothing beyond a hop that hides itself is believed, as anybody may have written it.
+    #[must_use]
+    pub fn believed(&self, hops: &[Option<IpAddr>]) -> Option<IpAddr> {
+        hops.iter()
+            .rev()
+            .find(|hop| !hop.is_some_and(|address| self.is_forwarder(address)))
+            .copied()
+            .flatten()
+    }
+
+    /// The checks that go by the address alone.
+    fn judge_address(&mut self, address: IpAddr) -> Result<(), (Reason, Duration)> {
         if let Some(until) = self.blocked.get(&address).copied() {
             if until > self.now {
-                return self.refuse(Reason::Blocked, until - self.now);
+                return Err((Reason::Blocked, until - self.now));
             }
             self.blocked.remove(&address);
         }
@@ -319,97 +432,182 @@
         let of_address = self.by_address.get(&address).copied().unwrap_or(0);
         let prefix = self.prefix(address);
         let of_prefix = self.by_prefix.get(&prefix).copied().unwrap_or(0);
-        let shaking = self.handshakes_by_address.get(&address).copied().unwrap_or(0);
+        let unproven = self.unproven_by_address.get(&address).copied().unwrap_or(0);
         if of_address >= exception.unwrap_or(self.settings.per_address) {
-            return self.refuse(Reason::Address, Duration::ZERO);
+            return Err((Reason::Address, Duration::ZERO));
         }
         if of_prefix >= exception.unwrap_or(0).max(self.settings.per_prefix) {
-            return self.refuse(Reason::Prefix, Duration::ZERO);
+            return Err((Reason::Prefix, Duration::ZERO));
+        }
+        if unproven >= self.settings.handshakes_per_address {
+            return Err((Reason::Handshakes, Duration::ZERO));
+        }
+        Ok(())
+    }
+
+    /// A connection has come. If it gets in, it is in its handshake.
+    pub fn arrive(&mut self, now: Duration, arrival: Arrival) -> Verdict {
+        self.now = self.now.max(now);
+        self.reserve.note(self.now, self.known);
+        let Arrival { conn, address } = arrival;
+        let forwarder = self.is_forwarder(address);
+        if !forwarder && let Err((reason, least)) = self.judge_address(address) {
+            return self.refuse(reason, least);
         }
-        if shaking >= self.settings.handshakes_per_address || self.handshakes >= self.settings.handshakes {
+        let victim = self.unproven.first().copied();
+        let full = self.unproven.len() >= self.settings.handshakes;
+        let victim = victim.filter(|(since, _)| full && self.now - *since >= SLOW_HANDSHAKE);
+        if full && victim.is_none() {
             return self.refuse(Reason::Handshakes, Duration::ZERO);
         }
-        // Last of the checks that concern the address alone: a refusal above must not use up its rate.
-        if let Err(wait) = self.limiter.arrive(self.now, address) {
+        // Last of the checks that concern the address: a refusal above must not use up its rate.
+        if !forwarder && let Err(wait) = self.limiter.arrive(self.now, address) {
             return self.refuse(Reason::Rate, wait);
         }
-        // Who it is shows only later: until then everybody is a stranger, and a handshake may use the whole room, or
-        // known clients could not get as far as saying who they are.
-        if self.conns.len() >= self.settings.total {
-            let Some((_, victim)) = self.idle.first().copied() else {
-                return self.refuse(Reason::Full, Duration::ZERO);
-            };
-            self.remove(victim);
-            self.insert(conn, address);
-            return Verdict::Replace(victim);
+        if let Some((_, slow)) = victim {
+            self.evict(slow, Eviction::MadeRoom);
         }
-        self.insert(conn, address);
-        Verdict::Accept
+        self.insert(conn, address, !forwarder);
+        victim.map_or(Verdict::Accept, |(_, slow)| Verdict::Replace(slow))
+    }
+
+    fn insert(&mut self, conn: Conn, address: IpAddr, counted: bool) {
+        if counted {
+            self.count(address);
+        }
+        self.unproven.insert((self.now, conn));
+        let (stage, client, calls, idle_since, stuck) = (Stage::Handshake, None, 0, self.now, None);
+        self.conns.insert(conn, Entry { address, counted, stage, client, calls, idle_since, stuck });
     }
 
-    fn insert(&mut self, conn: Conn, address: IpAddr) {
+    fn count(&mut self, address: IpAddr) {
         let prefix = self.prefix(address);
         *self.by_address.entry(address).or_default() += 1;
         *self.by_prefix.entry(prefix).or_default() += 1;
-        *self.handshakes_by_address.entry(address).or_default() += 1;
-        self.handshakes += 1;
-        let (stage, client, calls, idle_since) = (Stage::Handshake, None, 0, self.now);
-        self.conns.insert(conn, Entry { address, stage, client, calls, idle_since });
+        *self.unproven_by_address.entry(address).or_default() += 1;
+    }
+
+    /// A forwarder has said where a connection in its handshake comes from. Ignored unless the connection came from
+    /// a forwarder: what anybody else says of itself is not believed.
+    pub fn forwarded(&mut self, now: Duration, conn: Conn, address: IpAddr) -> Verdict {
+        self.now = self.now.max(now);
+        let waits = |e: &Entry| e.stage == Stage::Handshake && !e.counted;
+        if !self.conns.get(&conn).is_some_and(waits) || self.is_forwarder(address) {
+            return Verdict::Accept;
+        }
+        let judged = self
+            .judge_address(address)
+            .and_then(|()| self.limiter.arrive(self.now, address).map_err(|wait| (Reason::Rate, wait)));
+        if let Err((reason, least)) = judged {
+            self.remove(conn);
+            return self.refuse(reason, least);
+        }
+        self.count(address);
+        if let Some(entry) = self.conns.get_mut(&conn) {
+            (entry.address, entry.counted) = (address, true);
+        }
+        Verdict::Accept
     }
 
-    /// A handshake is done without saying who it is: a stranger, who may use what is not kept for known clients.
+    /// A handshake is done without saying who it is. A stranger may use what is not kept for known clients; where
+    /// nothing of that is left, the stranger without a call that was idle for longest makes room.
     pub fn shaken(&mut self, now: Duration, conn: Conn) -> Verdict {
         self.now = self.now.max(now);
-        let strangers = self.conns.len() - self.known - self.handshakes;
         let Some(entry) = self.conns.get(&conn).filter(|e| e.stage == Stage::Handshake) else {
             return Verdict::Accept;
         };
-        let address = entry.address;
-        if strangers >= self.for_strangers() {
-            self.remove(conn);
-            return self.refuse(Reason::Reserved, Duration::ZERO);
+        let (since, address, counted) = (entry.idle_since, entry.address, entry.counted);
+        let full = self.placed() >= self.settings.total;
+        let mut victim = None;
+        if full || self.placed() - self.known >= self.for_strangers() {
+            // Only a full house drives out: in a reserve that nobody uses yet, an idle stranger harms nobody.
+            victim = self.idle.first().map(|(_, conn)| *conn).filter(|_| full);
+            if victim.is_none() && !self.settings.prove.is_zero() {
+                self.unproven.remove(&(since, conn));
+                self.unproven.insert((self.now, conn));
+                if let Some(entry) = self.conns.get_mut(&conn) {
+                    (entry.stage, entry.idle_since) = (Stage::Probation, self.now);
+                }
+                return Verdict::Probation;
+            }
+            let Some(victim) = victim else {
+                self.remove(conn);
+                return self.refuse(if full { Reason::Full } else { Reason::Reserved }, Duration::ZERO);
+            };
+            self.evict(victim, Eviction::MadeRoom);
         }
-        self.end_handshake(address);
+        self.end_unproven(since, conn, address, counted);
         if let Some(entry) = self.conns.get_mut(&conn) {
             entry.stage = Stage::Stranger;
             entry.idle_since = self.now;
         }
         self.idle.insert((self.now, conn));
-        Verdict::Accept
+        victim.map_or(Verdict::Accept, Verdict::Replace)
     }
 
-    fn end_handshake(&mut self, address: IpAddr) {
-        self.handshakes -= 1;
-        count_down(&mut self.handshakes_by_address, &address);
+    fn end_unproven(&mut self, since: Duration, conn: Conn, address: IpAddr, counted: bool) {
+        self.unproven.remove(&(since, conn));
+        if counted {
+            count_down(&mut self.unproven_by_address, &address);
+        }
     }
 
     /// A connection has shown that it is a known client's. It no longer counts against its address and prefix, so
-    /// that a branch office behind one address is not shut out by its neighbours.
+    /// that a branch office behind one address is not shut out by its neighbours. In a full house of known clients
+    /// the one that holds most gives up the connection without a call that was idle for longest, if it holds more
+    /// than this one then does.
     pub fn known(&mut self, now: Duration, conn: Conn, client: &Arc<str>) -> Verdict {
         self.now = self.now.max(now);
         let Some(entry) = self.conns.get(&conn).filter(|e| e.stage != Stage::Known) else {
             return Verdict::Accept;
         };
-        let (address, stage, idle_since) = (entry.address, entry.stage, entry.idle_since);
+        let (address, counted, stage, since) = (entry.address, entry.counted, entry.stage, entry.idle_since);
+        let calls = entry.calls;
         let held = self.by_client.get(client).copied().unwrap_or(0);
         let limit = self.client_limits.get(client).copied().unwrap_or(self.settings.per_client);
         if held >= limit {
             self.remove(conn);
             return self.refuse(Reason::Client, Duration::ZERO);
         }
-        if stage == Stage::Handshake {
-            self.end_handshake(address);
+        let mut victim = None;
+        if stage.unproven() && self.placed() >= self.settings.total {
+            victim = self.idle.first().map(|(_, conn)| *conn).or_else(|| self.idle_of_largest(held + 1));
+            let Some(victim) = victim else {
+                self.remove(conn);
+                return self.refuse(Reason::Full, Duration::ZERO);
+            };
+            self.evict(victim, Eviction::MadeRoom);
+        }
+        if stage.unproven() {
+            self.end_unproven(since, conn, address, counted);
+        }
+        self.idle.remove(&(since, conn));
+        if counted {
+            self.uncount(address);
         }
-        self.idle.remove(&(idle_since, conn));
-        self.uncount(address);
         *self.by_client.entry(client.clone()).or_default() += 1;
         self.known += 1;
         if let Some(entry) = self.conns.get_mut(&conn) {
-            entry.stage = Stage::Known;
+            (entry.stage, entry.counted, entry.idle_since) = (Stage::Known, false, self.now);
             entry.client = Some(client.clone());
         }
+        if calls == 0 {
+            self.idle_known.insert((client.clone(), self.now, conn));
+        }
         self.reserve.note(self.now, self.known);
-        Verdict::Accept
+        victim.map_or(Verdict::Accept, Verdict::Replace)
+    }
+
+    /// The longest idle connection of the client that holds most, if it holds more than so many.
+    fn idle_of_largest(&self, more_than: usize) -> Option<Conn> {
+        let by_open = self.by_client.iter().filter(|(_, open)| **open > more_than);
+        let mut clients: Vec<_> = by_open.collect();
+        clients.sort_by(|a, b| b.1.cmp(a.1).then_with(|| a.0.cmp(b.0)));
+        let first = |client: &Arc<str>| {
+            let from = (client.clone(), Duration::ZERO, Conn(0));
+            self.idle_known.range(from..).next().filter(|e| e.0 == *client).map(|e| e.2)
+        };
+        clients.into_iter().find_map(|(client, _)| first(client))
     }
 
     fn uncount(&mut self, address: IpAddr) {
@@ -422,12 +620,64 @@
     pub fn active(&mut self, now: Duration, conn: Conn, calls: u32) {
         self.now = self.now.max(now);
         let Some(entry) = self.conns.get_mut(&conn) else { return };
-        self.idle.remove(&(entry.idle_since, conn));
-        entry.idle_since = self.now;
+        // One on probation shows what it is or goes; whatever else it does changes nothing.
+        if entry.stage.unproven() {
+            return;
+        }
+        let before = std::mem::replace(&mut entry.idle_since, self.now);
         entry.calls = calls;
-        if entry.stage == Stage::Stranger && calls == 0 {
-            self.idle.insert((self.now, conn));
+        match (&entry.stage, &entry.client) {
+            (Stage::Known, Some(client)) => {
+                let client = client.clone();
+                let was = (client, before, conn);
+                self.idle_known.remove(&was);
+                if calls == 0 {
+                    self.idle_known.insert((was.0, self.now, conn));
+                }
+            }
+            _ => {
+                self.idle.remove(&(before, conn));
+                if calls == 0 {
+                    self.idle.insert((self.now, conn));
+                }
+            }
+        }
+    }
+
+    /// So many bytes wait for a connection, which has taken so many in all.
+    pub fn reads(&mut self, now: Duration, conn: Conn, waiting: usize, taken: u64) {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
+        entry.stuck = match entry.stuck {
+            _ if waiting == 0 => None,
+            Some((before, since)) if before == taken => Some((before, since)),
+            _ => Some((taken, now)),
+        };
+    }
+
+    /// Who is to be closed now: strangers that were idle for too long, those that do not read, and those whose time
+    /// to show what they are is up. A connection with a call is never among them.
+    pub fn sweep(&mut self, now: Duration) -> Vec<(Conn, Eviction)> {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let over = |since: Duration, limit: Duration| !limit.is_zero() && now - since >= limit;
+        let settings = &self.settings;
+        let idle = self.idle.iter().take_while(|(since, _)| over(*since, settings.idle));
+        let mut out: Vec<(Conn, Eviction)> = idle.map(|(_, conn)| (*conn, Eviction::Idle)).collect();
+        let on_probation = |conn: &Conn| self.conns.get(conn).is_some_and(|e| e.stage == Stage::Probation);
+        let unproven = self.unproven.iter().take_while(|(since, _)| over(*since, settings.prove));
+        let unproven = unproven.filter(|(_, conn)| on_probation(conn));
+        out.extend(unproven.map(|(_, conn)| (*conn, Eviction::Unproven)));
+        let stuck = |e: &Entry| e.calls == 0 && e.stuck.is_some_and(|(_, since)| over(since, settings.slow));
+        let slow = self.conns.iter().filter(|(_, e)| stuck(e)).map(|(conn, _)| (*conn, Eviction::Slow));
+        out.extend(slow.collect::<Vec<_>>());
+        out.sort_unstable();
+        out.dedup_by_key(|(conn, _)| *conn);
+        for (conn, why) in &out {
+            self.evict(*conn, *why);
         }
+        out
     }
 
     /// A connection is gone.
@@ -438,19 +688,19 @@
 
     fn remove(&mut self, conn: Conn) {
         let Some(entry) = self.conns.remove(&conn) else { return };
-        self.idle.remove(&(entry.idle_since, conn));
-        match entry.stage {
-            Stage::Handshake => {
-                self.end_handshake(entry.address);
-                self.uncount(entry.address);
+        match (entry.stage, &entry.client) {
+            (Stage::Handshake | Stage::Probation, _) => {
+                self.end_unproven(entry.idle_since, conn, entry.address, entry.counted);
             }
-            Stage::Stranger => self.uncount(entry.address),
-            Stage::Known => {
+            (Stage::Known, Some(client)) => {
                 self.known -= 1;
-                if let Some(client) = &entry.client {
-                    count_down(&mut self.by_client, client);
-                }
+                count_down(&mut self.by_client, client);
+                self.idle_known.remove(&(client.clone(), entry.idle_since, conn));
             }
+            _ => drop(self.idle.remove(&(entry.idle_since, conn))),
+        }
+        if entry.counted {
+            self.uncount(entry.address);
         }
     }
 
@@ -490,10 +740,11 @@
         let left = |until: &Duration| until.checked_sub(self.now).filter(|left| !left.is_zero());
         Snapshot {
             open: self.conns.len(),
-            handshakes: self.handshakes,
+            handshakes: self.unproven.len(),
             known: self.known,
             reserve: self.reserve.size(),
             refused: self.refused.clone(),
+            evicted: self.evicted.clone(),
             addresses: largest(self.by_address.iter(), most),
             clients: largest(self.by_client.iter(), most),
             blocked: self
--- a/crates/fawnrouter-admission/src/fair.rs
+++ b/crates/fawnrouter-admission/src/fair.rs
@@ -28,6 +28,13 @@
     items: VecDeque<T>,
 }
 
+impl<T> Queue<T> {
+    /// What it holds by its weight.
+    fn share(&self) -> f64 {
+        self.items.len() as f64 / f64::from(self.weight)
+    }
+}
+
 /// Queues of set-ups by client `C`. A client without a set-up takes no memory.
 #[derive(Debug)]
 pub struct Fair<C, T> {
@@ -59,24 +66,10 @@
         }
         let mut pushed_out = None;
         if self.waiting >= self.settings.waiting {
-            let share = |len: usize, weight: u32| len as f64 / f64::from(weight);
-            let largest = self.queues.iter().max_by(|a, b| {
-                share(a.1.items.len(), a.1.weight).total_cmp(&share(b.1.items.len(), b.1.weight))
-            });
-            let victim = largest
-                .filter(|(_, q)| share(q.items.len(), q.weight) > share(held + 1, weight))
-                .map(|(client, _)| client.clone());
+            let mine = (held + 1) as f64 / f64::from(weight);
+            let victim = self.largest().filter(|c| self.queues.get(c).is_some_and(|q| q.share() > mine));
             let Some(victim) = victim else { return Err((item, Turned::Full)) };
-            if let Some(queue) = self.queues.get_mut(&victim) {
-                pushed_out = queue.items.pop_back();
-                self.waiting -= 1;
-                // A heavy client may push out the only set-up of a light one, whose turn then goes too: it would
-                // otherwise have two when it comes again.
-                if queue.items.is_empty() {
-                    self.queues.remove(&victim);
-                    self.turns.retain(|c| *c != victim);
-                }
-            }
+            pushed_out = self.pop_newest(&victim);
         }
         let queue = self.queues.entry(client.clone()).or_insert_with(|| Queue {
             weight,
@@ -136,6 +129,36 @@
         }
     }
 
+    /// Takes the newest set-up out of the client that holds most by its weight.
+    pub fn shed(&mut self) -> Option<(C, T)> {
+        let client = self.largest()?;
+        let item = self.pop_newest(&client)?;
+        Some((client, item))
+    }
+
+    /// Takes one out of a client's queue, the newest, as when its items are all alike.
+    pub fn drop_one(&mut self, client: &C) {
+        drop(self.pop_newest(client));
+    }
+
+    fn largest(&self) -> Option<C> {
+        let by_share = |a: &(&C, &Queue<T>), b: &(&C, &Queue<T>)| a.1.share().total_cmp(&b.1.share());
+        self.queues.iter().max_by(by_share).map(|(client, _)| client.clone())
+    }
+
+    fn pop_newest(&mut self, client: &C) -> Option<T> {
+        let queue = self.queues.get_mut(client)?;
+        let item = queue.items.pop_back();
+        self.waiting -= usize::from(item.is_some());
+        // A heavy client may push out the only set-up of a light one, whose turn then goes too: it would otherwise
+        // have two when it comes again.
+        if queue.items.is_empty() {
+            self.queues.remove(client);
+            self.turns.retain(|c| c != client);
+        }
+        item
+    }
+
     /// Set-ups that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/fawnrouter-admission/src/lib.rs
+++ b/crates/fawnrouter-admission/src/lib.rs
@@ -5,18 +5,33 @@
 //! | module | what it decides |
 //! | --- | --- |
 //! | `admission` | accepts, or refuses with a reason and a time to stay away; who is closed to make room |
+//! | `setups` | which set-up reaches the decisions on routes, and when |
+//! | `descriptors` | what the descriptors of the process are for, and what to do without any |
+//! | `bytes` | how much may wait for one connection |
+//! | `alarm` | when a line goes to the log |
 //! | `limiter` | rates by address in bounded memory, which forgets nobody who is over the rate |
 //! | `fair` | whose set-up is next, so that one client's burst does not hold up the others |
 //! | `reserve` | how much of the room only known clients may use |
 
 mod admission;
+mod alarm;
+mod bytes;
+mod descriptors;
 mod fair;
 mod limiter;
 mod reserve;
+mod setups;
+mod spread;
 
 pub use admission::{
-    Admission, AdmissionSettings, Arrival, Conn, Holding, Prefixes, Reason, SettingsError, Snapshot, Verdict,
+    Admission, AdmissionSettings, Arrival, Conn, Eviction, Holding, Prefixes, Reason, SettingsError,
+    Snapshot, Verdict,
 };
+pub use alarm::{Alarms, Line};
+pub use bytes::{ByteSettings, Bytes, For};
+pub use descriptors::{Change, DescriptorSettings, Descriptors, Place, Step, TooFew};
 pub use fair::{Fair, FairSettings, Turned};
-pub use limiter::{Limiter, Rate};
+pub use limiter::{Gcra, Limiter, Rate};
 pub use reserve::{Reserve, ReserveSettings};
+pub use setups::{ClientLimits, SetUpRefusal, SetUpSettings, SetUps, Stay, Turn, Who};
+pub use spread::Spread;
--- a/crates/fawnrouter-admission/src/limiter.rs
+++ b/crates/fawnrouter-admission/src/limiter.rs
@@ -35,6 +35,27 @@
     }
 }
 
+/// The state of one who is kept to a rate: its theoretical arrival time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gcra {
+    time: Duration,
+}
+
+impl Gcra {
+    /// Judges an arrival; a refused one costs nothing.
+    ///
+    /// # Errors
+    /// How long to stay away.
+    pub fn arrive(&mut self, now: Duration, rate: &Rate) -> Result<(), Duration> {
+        let tolerance = rate.tolerance();
+        if self.time > now + tolerance {
+            return Err(self.time - now - tolerance);
+        }
+        self.time = self.time.max(now).saturating_add(rate.every);
+        Ok(())
+    }
+}
+
 /// Rows of the sketch.
 const ROWS: usize = 2;
 
@@ -89,11 +110,9 @@
             Some(time) => *time,
             None => (0..ROWS).map(|row| self.sketch[row][self.slot(row, address)]).min().unwrap_or_default(),
         };
-        let tolerance = self.rate.tolerance();
-        if owed > self.now + tolerance {
-            return Err(owed - self.now - tolerance);
-        }
-        self.store(address, owed.max(self.now).saturating_add(self.rate.every));
+        let mut owes = Gcra { time: owed };
+        owes.arrive(self.now, &self.rate)?;
+        self.store(address, owes.time);
         Ok(())
     }
 
--- a/crates/fawnrouter-config/src/settings/mod.rs
+++ b/crates/fawnrouter-config/src/settings/mod.rs
@@ -1,17 +1,23 @@
-//! The settings' types. Times are whole milliseconds, sizes bytes.
+//! The settings' types. Times are whole milliseconds, sizes bytes. A section that a subsystem made is in a file of its
+//! own, with what it means to that subsystem.
+
+mod admission;
+mod clients;
 
 use std::collections::BTreeSet;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
-use fawnrouter_admission::{AdmissionSettings, Prefixes, Rate, ReserveSettings};
 use fawnrouter_engine::fawnrouter as module;
 use fawnrouter_engine::{BackoffSettings, CallRules, Destination, EngineSettings, IntakeLimits, Match, Rule};
 use module::{Cell, ClassId, PeerId, TenantId};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+pub use admission::{Admission, ClientPlan, Network, NetworkCap, Reserve, SetUpsPlan, StrangerPlan};
+pub use clients::{ClientFile, ClientLine, Clients, Control, StrangersMay, read_clients};
+
 use crate::document::Fault;
 
 /// All settings of a gateway.
@@ -47,6 +53,12 @@
     /// Who gets in when too many connect; left out, only `limits.connections` counts.
     #[serde(default)]
     pub admission: Option<Admission>,
+    /// Clients that are known by name; left out, nobody is asked who they are.
+    #[serde(default)]
+    pub clients: Option<Clients>,
+    /// Where operators' commands reach the running gateway; left out, they do not.
+    #[serde(default)]
+    pub control: Option<Control>,
     /// Connections to switches.
     #[serde(default)]
     pub trunk: Trunk,
@@ -318,6 +330,10 @@
     /// Bytes that wait to be written to one client or switch; beyond it the connection is closed.
     #[schemars(range(min = 4096, max = 1_073_741_824))]
     pub write_backlog_bytes: usize,
+    /// Bytes that wait in all, in messages that are not whole yet and to be written: the more of it is used, the less
+    /// each connection may hold.
+    #[schemars(range(min = 1_048_576, max = 1_099_511_627_776u64))]
+    pub buffer_bytes: usize,
     /// How long callers turned away for a limit should stay away.
     #[schemars(range(min = 0, max = 3_600_000))]
     pub retry_after_ms: u64,
@@ -338,79 +354,13 @@
             body_bytes: 64 * 1024,
             bad_messages: 20,
             write_backlog_bytes: 1024 * 1024,
+            buffer_bytes: 256 * 1024 * 1024,
             retry_after_ms: 2000,
             longest_try_ms: 60_000,
         }
     }
 }
 
-/// Who gets in when too many connect. `limits.connections` is the number of places.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
-#[serde(default, deny_unknown_fields)]
-pub struct Admission {
-    /// Connections of one address.
-    #[schemars(range(min = 1, max = 1_000_000))]
-    pub per_address: usize,
-    /// Connections of one network.
-    #[schemars(range(min = 1, max = 1_000_000))]
-    pub per_network: usize,
-    /// Leading bits of an IPv4 address that make its network.
-    #[schemars(range(max = 32))]
-    pub network_bits_v4: u8,
-    /// Leading bits of an IPv6 address that make its network.
-    #[schemars(range(max = 128))]
-    pub network_bits_v6: u8,
-    /// Networks with a cap of their own, as offices behind one address need it.
-    #[schemars(length(max = 10_000))]
-    pub exceptions: Vec<NetworkCap>,
-    /// New connections a second of one address.
-    #[schemars(range(min = 0.001, max = 1e6))]
-    pub rate_per_s: f64,
-    /// New connections of one address that may come at once.
-    #[schemars(range(min = 1, max = 1_000_000))]
-    pub burst: u32,
-    /// Addresses whose rate is kept exactly; about 200 bytes each.
-    #[schemars(range(min = 16, max = 10_000_000))]
-    pub addresses: usize,
-    /// Handshakes under way, of all addresses.
-    #[schemars(range(min = 1, max = 1_000_000))]
-    pub handshakes: usize,
-    /// Handshakes under way of one address.
-    #[schemars(range(min = 1, max = 1_000_000))]
-    pub handshakes_per_address: usize,
-}
-
-impl Default for Admission {
-    fn default() -> Self {
-        Self {
-            per_address: 200,
-            per_network: 2000,
-            network_bits_v4: 24,
-            network_bits_v6: 64,
-            exceptions: Vec::new(),
-            rate_per_s: 20.0,
-            burst: 100,
-            addresses: 100_000,
-            handshakes: 500,
-            handshakes_per_address: 50,
-        }
-    }
-}
-
-/// A network with a cap of its own.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct NetworkCap {
-    /// An address in it.
-    pub address: IpAddr,
-    /// Its leading bits.
-    #[schemars(range(max = 128))]
-    pub bits: u8,
-    /// Connections of it.
-    #[schemars(range(min = 1, max = 1_000_000))]
-    pub connections: usize,
-}
-
 /// Connections to switches.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
@@ -427,11 +377,20 @@
     /// A standing call outlives the loss of its switch's connection this long.
     #[schemars(range(max = 600_000))]
     pub cut_after_ms: u64,
+    /// Descriptors kept for connections to switches, whatever clients do.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub descriptors: usize,
 }
 
 impl Default for Trunk {
     fn default() -> Self {
-        Self { connect_ms: 500, backoff_first_ms: 100, backoff_most_ms: 2000, cut_after_ms: 5000 }
+        Self {
+            connect_ms: 500,
+            backoff_first_ms: 100,
+            backoff_most_ms: 2000,
+            cut_after_ms: 5000,
+            descriptors: 64,
+        }
     }
 }
 
@@ -561,12 +520,6 @@
         if self.trunk.backoff_first_ms > self.trunk.backoff_most_ms {
             fault("/trunk/backoff_first_ms".into(), "is beyond backoff_most_ms; lower it".into());
         }
-        for (n, cap) in self.admission.iter().flat_map(|a| a.exceptions.iter()).enumerate() {
-            if cap.address.is_ipv4() && cap.bits > 32 {
-                let text = "is beyond the 32 bits of an IPv4 address; lower it".into();
-                fault(format!("/admission/exceptions/{n}/bits"), text);
-            }
-        }
         if !self.listen.path.starts_with('/') {
             fault("/listen/path".into(), "does not begin with a slash; write /sip or the like".into());
         }
@@ -576,6 +529,12 @@
                 "is no host; write a name or an address, and a port if need be".into(),
             );
         }
+        if let Some(admission) = &self.admission {
+            admission.faults(&self.limits, self.clients.as_ref(), &mut faults);
+        }
+        if let Some(clients) = &self.clients {
+            clients.faults(&mut faults);
+        }
         faults
     }
 
@@ -614,32 +573,12 @@
             },
             cut_after: ms(self.trunk.cut_after_ms),
             longest_try: ms(self.limits.longest_try_ms),
+            auth: None,
+            set_ups: self.set_ups(seed),
             words,
         }
     }
 
-    /// The settings of the admission of connections, if it is on.
-    #[must_use]
-    pub fn admission(&self, seed: u64) -> Option<AdmissionSettings> {
-        let a = self.admission.as_ref()?;
-        Some(AdmissionSettings {
-            total: self.limits.connections,
-            per_address: a.per_address,
-            per_prefix: a.per_network,
-            prefixes: Prefixes { v4: a.network_bits_v4, v6: a.network_bits_v6 },
-            exceptions: a.exceptions.iter().map(|e| (e.address, e.bits, e.connections)).collect(),
-            rate: Rate::per_second(a.rate_per_s, a.burst),
-            addresses: a.addresses,
-            handshakes: a.handshakes,
-            handshakes_per_address: a.handshakes_per_address,
-            // Nobody can show who it is yet, so nothing is kept for known clients.
-            reserve: ReserveSettings { least: 0, most: 0, headroom: 0.0, half_life: ms(60_000) },
-            per_client: self.limits.connections,
-            retry_after: ms(self.limits.retry_after_ms),
-            seed,
-        })
-    }
-
     /// The decision module's settings.
     #[must_use]
     pub fn decisions(&self) -> module::Settings {
--- a/crates/fawnrouter-engine/src/caller.rs
+++ b/crates/fawnrouter-engine/src/caller.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use fawnrouter::{CallId, Event, NewCall, Outcome};
+use fawnrouter::{CallId, NewCall, Outcome};
+use fawnrouter_admission::{SetUps, Stay, Turn};
 use fawnrouter_sip::transaction::{ACK_WAIT, InviteServer, ServerStep};
 use fawnrouter_sip::{Address, Dialog, Draft, Message, Method, Name, Start, Uri, UriError};
 use rand_core::RngCore;
 
 use crate::engine::Engine;
+use crate::gate::{Passage, Waiting};
 use crate::intake::Load;
 use crate::interface::{CallWord, ClientId, Output};
 use crate::status::{Answer, whole_seconds};
@@ -38,6 +40,10 @@
             }
             return;
         }
+        let info = match self.identify(client, &message, uri) {
+            Passage::Answered => return,
+            Passage::Go(info) => info,
+        };
         match method {
             Method::Ack => self.on_ack(client, &message),
             Method::Cancel => self.on_cancel(client, &message),
@@ -48,8 +54,9 @@
                 Err((status, extra)) => self.respond(client, &message, status, None, &extra_of(&extra)),
                 Ok(_) => {
                     let status = if self.intake.draining() { 503 } else { 200 };
-                    let extra =
-                        [(Name::Accept, "application/sdp"), (Name::Allow, ALLOW), (Name::Supported, "")];
+                    let mut extra =
+                        vec![(Name::Accept, "application/sdp"), (Name::Allow, ALLOW), (Name::Supported, "")];
+                    extra.extend(info.as_deref().map(|info| (Name::AuthenticationInfo, info)));
                     self.respond(client, &message, status, None, &extra);
                 }
             },
@@ -61,7 +68,7 @@
     }
 
     /// Answers a request out of any call.
-    fn respond(
+    pub(crate) fn respond(
         &mut self,
         client: ClientId,
         request: &Message,
@@ -116,6 +123,14 @@
         let left = told.unwrap_or(limit).min(self.settings.longest_try);
         let class_name = class.map(|c| c.name.clone()).unwrap_or_default();
         let id = self.new_call_id();
+        let turn = self.judge_set_up(client, id);
+        if let Turn::Refuse { why, retry_after } = turn {
+            self.counters.not_taken += 1;
+            let wait = whole_seconds(retry_after).max(1).to_string();
+            let reason = format!("SIP;cause=503;text=\"{}\"", why.text());
+            let extra = [(Name::RetryAfter, wait.as_str()), (Name::Reason, reason.as_str())];
+            return self.respond(client, &invite, 503, None, &extra);
+        }
         let session = session_of(&invite)
             .unwrap_or_else(|| format!("{:016x}{:016x}", self.rng.next_u64(), self.rng.next_u64()));
         let call_id = invite.get(Name::CallId).unwrap_or("").into();
@@ -128,13 +143,14 @@
             server: InviteServer::default(),
             stage: Stage::Routing,
             began: self.now,
+            due: self.now.plus(left),
+            waits: None,
             out: None,
             attempts: 0,
             last: None,
             invite: Some(invite),
         };
         let words = (call.call_id.clone(), class_name, seen.number.clone());
-        self.table.due.set(Key::Call(id), self.now.plus(left));
         self.table.calls.insert(id, call);
         self.table.by_branch.insert((client, branch), id);
         if let Some(known) = self.table.clients.get_mut(&client) {
@@ -144,7 +160,7 @@
         self.counters.taken += 1;
         self.word(id, || CallWord::Taken { call_id: words.0, class: words.1.into(), number: words.2.into() });
         self.provisional(id, 100, None);
-        self.events.push_back(Event::Call(NewCall {
+        let new = NewCall {
             id,
             class: seen.class,
             left,
@@ -154,7 +170,16 @@
             redialled: false,
             transit: false,
             destination: seen.destination,
-        }));
+        };
+        if turn == Turn::Wait {
+            let wait = self.set_ups().map_or(left, SetUps::wait).min(left);
+            self.table.due.set(Key::Call(id), self.now.plus(wait));
+            if let Some(call) = self.table.calls.get_mut(&id) {
+                call.waits = Some(Waiting { call: new });
+            }
+            return;
+        }
+        self.hand_over(new);
     }
 
     /// The tag of answers to the caller: one for each attempt, as each has a session of its own (§12.1).
@@ -222,6 +247,7 @@
             self.out.push(Output::ToClient { client, bytes });
         }
         self.word(id, || CallWord::Answered { status: answer.status, after });
+        self.leaves(id);
         self.pending -= 1;
         self.table.due.set(Key::Call(id), self.now.plus(ACK_WAIT));
         self.table.retire(id, self.settings.intake.calls);
@@ -245,6 +271,7 @@
             call.out = None;
             call.invite = None;
         }
+        self.stays(id, Stay::Standing);
         self.pending -= 1;
         self.counters.stood += 1;
         self.table.due.set(Key::Call(id), self.now.plus(ACK_WAIT));
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -7,11 +7,13 @@
     Action, AttemptNo, CallId, Controller, Event, ListKind, Note, Outcome, Report, ServerId, ServerState,
     SettingsError, Time,
 };
+use fawnrouter_admission::Stay;
 use fawnrouter_sip::transaction::{ACK_WAIT, CancelStep};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
 use crate::backoff::Backoff;
+use crate::gate::{Gate, Identity};
 use crate::intake::Intake;
 use crate::interface::*;
 use crate::status;
@@ -24,6 +26,7 @@
     pub(crate) controller: Box<dyn Decide>,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) intake: Intake,
+    pub(crate) gate: Gate,
     pub(crate) table: Table,
     pub(crate) now: Time,
     /// Calls without a final answer.
@@ -54,6 +57,7 @@
         rng.set_stream(1);
         Self {
             intake: Intake::new(settings.intake),
+            gate: Gate::new(settings.auth.clone(), settings.set_ups.clone()),
             settings,
             controller,
             rng,
@@ -75,9 +79,10 @@
         self.now = self.now.max(now);
         self.fire();
         match input {
-            Input::ClientUp { client, peer } => {
+            Input::ClientUp { client, peer, origin, must_prove } => {
                 let host = peer.ip().to_string();
-                let fresh = Client { peer, host, calls: Default::default() };
+                let identity = Identity::new(origin, must_prove);
+                let fresh = Client { peer, host, calls: Default::default(), identity };
                 self.table.clients.insert(client, fresh);
             }
             Input::ClientMessage { client, message } => self.on_client_message(client, message),
@@ -86,11 +91,13 @@
             Input::TrunkMessage { server, message } => self.on_trunk_message(server, &message),
             Input::TrunkDown { server } => self.on_trunk_down(server),
             Input::List { kind, switches } => self.on_list(kind, switches),
+            Input::Clients(clients) => self.set_clients(clients),
             Input::Wake => {}
             Input::Drain => self.intake.drain(),
             Input::Stop => self.stop(),
         }
         self.run();
+        self.give_turns();
         if self.intake.draining() && !self.drained_told && self.table.live() == 0 {
             self.drained_told = true;
             self.out.push(Output::Drained);
@@ -153,9 +160,13 @@
 
     /// Gives the controller its events, and carries out its actions, until there are no more. An action may make
     /// an event at once, as when there is no connection to send on.
-    fn run(&mut self) {
+    pub(crate) fn run(&mut self) {
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
+            // An attempt that ended without a standing call leaves the call with the controller.
+            if let Event::Closed { call, done: false, .. } = &event {
+                self.stays(*call, Stay::Held);
+            }
             self.controller.handle(self.now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(action);
@@ -250,6 +261,9 @@
             // The controller answers well before this. It guards against one that did not, as after the process
             // stood still: the caller gets its answer all the same.
             Stage::Routing => {
+                if self.waited(id) {
+                    return;
+                }
                 self.counters.failed += 1;
                 let answer = status::answer_to_caller(None, None);
                 self.lapse(id, answer);
@@ -266,8 +280,13 @@
 
     /// Ends a call that the controller still has: it is told that the caller has gone.
     pub(crate) fn lapse(&mut self, id: CallId, answer: status::Answer) {
-        let out = self.table.calls.get(&id).and_then(|c| c.out);
+        let call = self.table.calls.get(&id);
+        let (out, waits) = (call.and_then(|c| c.out), call.is_some_and(|c| c.waits.is_some()));
         self.answer_final(id, answer);
+        // The controller has not heard of a call that still waited for its turn.
+        if waits {
+            return;
+        }
         self.events.push_back(Event::Lapsed(id));
         if let Some(leg) = out {
             self.close_leg(leg, Outcome::Cancelled, true);
@@ -442,6 +461,7 @@
     /// Tells the controller of a standing call's end, and forgets the call; its leg stays.
     pub(crate) fn end_standing(&mut self, call: CallId, leg: LegId, outcome: Outcome) {
         let Some(ended) = self.table.drop_call(call) else { return };
+        self.leaves(call);
         if let (Some(leg), Stage::Standing { since, .. }) = (self.table.legs.get(&leg), &ended.stage) {
             let (attempt, server) = (leg.attempt, leg.server);
             let took = self.now.since(leg.sent);
--- a/crates/fawnrouter-engine/src/interface.rs
+++ b/crates/fawnrouter-engine/src/interface.rs
@@ -1,6 +1,6 @@
 //! What goes into an [`Engine`](crate::Engine) and what comes out of it.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,9 @@
 };
 use fawnrouter_sip::Message;
 
-use crate::{BackoffSettings, CallRules, IntakeLimits};
+use fawnrouter_admission::SetUpSettings;
+
+use crate::{AuthSettings, BackoffSettings, CallRules, IntakeLimits, KnownClient};
 
 /// What decides: the controller, or something that stands in for it in a comparison. The engine gives it every event
 /// and carries out every action in order.
@@ -48,6 +50,10 @@
     pub cut_after: Duration,
     /// The longest `Expires` that is believed; a longer or missing one is replaced by the class's deadline.
     pub longest_try: Duration,
+    /// How clients show who they are; `None`: nobody is asked.
+    pub auth: Option<AuthSettings>,
+    /// Fairness of set-ups among clients; `None`: each goes straight to the controller.
+    pub set_ups: Option<SetUpSettings>,
     /// Whether [`Output::Word`]s are wanted.
     pub words: bool,
 }
@@ -68,9 +74,15 @@
     ClientUp {
         /// The connection.
         client: ClientId,
-        /// Where it comes from.
+        /// The other end of the connection.
         peer: SocketAddr,
+        /// Where the client is: the peer's address, or what a trusted forwarder said.
+        origin: IpAddr,
+        /// It gets nothing before it has shown that it is a known client.
+        must_prove: bool,
     },
+    /// The known clients changed.
+    Clients(Vec<KnownClient>),
     /// A client sent a message.
     ClientMessage {
         /// The connection.
@@ -132,6 +144,20 @@
         /// A whole SIP message.
         bytes: Vec<u8>,
     },
+    /// A client has shown who it is.
+    Known {
+        /// The connection.
+        client: ClientId,
+        /// The client's name.
+        name: Arc<str>,
+    },
+    /// Close a client's connection once what is on its way has been written.
+    CloseClient {
+        /// The connection.
+        client: ClientId,
+        /// Why.
+        reason: &'static str,
+    },
     /// Connect to a switch; answer with [`Input::TrunkUp`] or [`Input::TrunkDown`].
     OpenTrunk {
         /// The switch.
@@ -220,4 +246,10 @@
     pub invalid: u64,
     /// Set-ups sent.
     pub attempts: u64,
+    /// Connections that showed who they are.
+    pub proofs: u64,
+    /// Requests answered 401.
+    pub challenged: u64,
+    /// Connections given up for wrong answers.
+    pub impostors: u64,
 }
--- a/crates/fawnrouter-engine/src/lib.rs
+++ b/crates/fawnrouter-engine/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! | module | what it decides or does |
 //! | --- | --- |
+//! | `gate` | who a client is, and whose set-up is next: asked here, decided in crates of their own |
 //! | `intake` | which new call is taken at all: limits, drain |
 //! | `classify` | class, tenant and first-choice pool of a call, by rules in the settings |
 //! | `status` | the written table of SIP status and [`fawnrouter::Outcome`], both ways |
@@ -21,6 +22,7 @@
 mod caller;
 mod classify;
 mod engine;
+mod gate;
 mod intake;
 mod interface;
 mod status;
@@ -31,7 +33,10 @@
 pub use classify::{CallRules, Classified, Destination, Match, Rule};
 pub use engine::Engine;
 pub use fawnrouter;
+pub use fawnrouter_admission as admission;
+pub use fawnrouter_digest as digest;
 pub use fawnrouter_sip as sip;
+pub use gate::{AuthSettings, KnownClient, Strangers};
 pub use intake::{Intake, IntakeLimits, Load, Refusal};
 pub use interface::*;
 pub use status::{Answer, Finality, Meaning, Told, answer_to_caller, meaning, overload_words, whole_seconds};
--- a/crates/fawnrouter-engine/src/table.rs
+++ b/crates/fawnrouter-engine/src/table.rs
@@ -9,6 +9,7 @@
 use fawnrouter_sip::{Dialog, Message};
 
 use crate::backoff::Backoff;
+use crate::gate::{Identity, Waiting};
 use crate::interface::{ClientId, Switch};
 
 /// An attempt's leg to a switch.
@@ -49,6 +50,10 @@
     pub server: InviteServer,
     pub stage: Stage,
     pub began: Time,
+    /// When its caller's time is up.
+    pub due: Time,
+    /// Its turn has not come.
+    pub waits: Option<Waiting>,
     pub out: Option<LegId>,
     pub attempts: u32,
     /// The last final response of a switch.
@@ -114,6 +119,7 @@
     pub peer: SocketAddr,
     pub host: String,
     pub calls: BTreeSet<CallId>,
+    pub identity: Identity,
 }
 
 /// What comes due.
@@ -217,6 +223,7 @@
     pub fn retire(&mut self, id: CallId, limit: usize) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.invite = None;
+        call.waits = None;
         call.stage = Stage::Ended;
         if let Some(client) = self.clients.get_mut(&call.client) {
             client.calls.remove(&id);
--- a/crates/fawnrouter-engine/src/trunk.rs
+++ b/crates/fawnrouter-engine/src/trunk.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fawnrouter::{AttemptNo, CallId, Event, Note, Outcome, Report, ServerId};
+use fawnrouter_admission::Stay;
 use fawnrouter_sip::transaction::{ACK_WAIT, ClientStep, InviteClient};
 use fawnrouter_sip::{Address, Dialog, Draft, Message, Method, Name, Uri};
 use rand_core::RngCore;
@@ -118,6 +119,7 @@
         }
         let bytes = draft.finish_with_body_of(invite);
         call.out = Some(leg_id);
+        self.stays(id, Stay::Out);
         let leg = Leg {
             call: id,
             attempt,
--- a/crates/fawnrouter-lab/src/fleet.rs
+++ b/crates/fawnrouter-lab/src/fleet.rs
@@ -158,6 +158,8 @@
         rules: script.rules.clone(),
         limits: Limits::default(),
         admission: None,
+        clients: None,
+        control: None,
         trunk: Trunk::default(),
         log: Log { format: LogFormat::Text, level: LogLevel::Warn },
         drain: Drain { time_ms: 3000 },
--- a/crates/fawnrouterd/src/cli.rs
+++ b/crates/fawnrouterd/src/cli.rs
@@ -1,11 +1,15 @@
 //! The command line.
 
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
 
+use fawnrouter_config::{ConfigError, Settings};
+use fawnrouter_engine::digest::{Algorithm, ha1};
+
+use crate::control::{self, Reply};
 use crate::serve;
 
 /// A call router that sets up calls over trunk groups: SIP over WebSocket to callers, SIP over TCP to core switches.
@@ -34,6 +38,49 @@
     },
     /// Print the JSON schema of the settings.
     Schema,
+    /// Ask a running gateway who holds what and who is refused, or block or free an address.
+    Admission {
+        /// The running gateway's settings, YAML; `control.socket` in them says where it listens.
+        #[arg(long)]
+        config: PathBuf,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+        /// What to ask; `show` if nothing is given.
+        #[command(subcommand)]
+        ask: Option<Ask>,
+    },
+    /// Read a password, one line on standard input, and print a known client's line for the file of clients.
+    Secret {
+        /// The client's name.
+        name: String,
+        /// The realm, as in `clients.realm`.
+        #[arg(long)]
+        realm: String,
+        /// Add the hash by MD5 too.
+        #[arg(long)]
+        md5: bool,
+    },
+}
+
+/// What a running gateway is asked.
+#[derive(Clone, Debug, Subcommand)]
+pub enum Ask {
+    /// Who holds what, who is refused and why.
+    Show,
+    /// Take no connection of an address for a time.
+    Block {
+        /// The address.
+        address: std::net::IpAddr,
+        /// For how long, seconds.
+        #[arg(long = "for", default_value_t = 600, value_parser = clap::value_parser!(u64).range(1..=31_536_000))]
+        for_s: u64,
+    },
+    /// Unblock an address, and forgive what it owes for its rate.
+    Free {
+        /// The address.
+        address: std::net::IpAddr,
+    },
 }
 
 /// Does what was asked for. Exit codes: 0 done, 1 it failed or was cut short, 2 the settings are wrong.
@@ -60,28 +107,22 @@
             }
         },
         Command::Check { config } => match fawnrouter_config::load(&config) {
+            Err(error) => wrong(&error),
+            Ok(settings) => check(&config, &settings),
+        },
+        Command::Admission { config, json, ask } => match fawnrouter_config::load(&config) {
             Err(error) => wrong(&error),
             Ok(settings) => {
-                let folder = config.parent().map(PathBuf::from).unwrap_or_default();
-                let file = folder.join(&settings.switches.file);
-                let name = file.display().to_string();
-                match std::fs::read_to_string(&file) {
-                    Err(error) => {
-                        eprintln!(
-                            "{name}: cannot be read: {error}; the gateway would start without switches"
-                        );
-                        ExitCode::from(2)
-                    }
-                    Ok(text) => match fawnrouter_config::read_switches(&name, &text) {
-                        Err(error) => wrong(&error),
-                        Ok(switches) => {
-                            println!("{}: sound; {} switches listed", config.display(), switches.len());
-                            ExitCode::SUCCESS
-                        }
-                    },
-                }
+                let Some(wanted) = settings.control else {
+                    return wrong(&format!(
+                        "{}: control: is missing; add `control: {{ socket: PATH }}` and start the gateway with it",
+                        config.display()
+                    ));
+                };
+                admission(&folder_of(&config).join(wanted.socket), ask.unwrap_or(Ask::Show), json)
             }
         },
+        Command::Secret { name, realm, md5 } => secret(&name, &realm, md5),
         Command::Schema => match serde_json::to_string_pretty(&fawnrouter_config::schema()) {
             Ok(text) => {
                 println!("{text}");
@@ -92,6 +133,96 @@
     }
 }
 
+fn folder_of(config: &Path) -> PathBuf {
+    config.parent().map(PathBuf::from).unwrap_or_default()
+}
+
+/// Reads a list that the settings name; the number of its entries.
+fn list<T>(
+    file: &Path,
+    without: &str,
+    read: fn(&str, &str) -> Result<Vec<T>, ConfigError>,
+) -> Result<usize, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| format!("{name}: cannot be read: {error}; {without}"))?;
+    read(&name, &text).map(|list| list.len()).map_err(|error| error.to_string())
+}
+
+fn check(config: &Path, settings: &Settings) -> ExitCode {
+    let folder = folder_of(config);
+    let switches = &settings.switches.file;
+    let without = "the gateway would start without switches";
+    let switches = match list(&folder.join(switches), without, fawnrouter_config::read_switches) {
+        Ok(count) => count,
+        Err(error) => return wrong(&error),
+    };
+    let mut known = String::new();
+    if let Some(clients) = &settings.clients {
+        let without = "the gateway would start without known clients";
+        match list(&folder.join(&clients.file), without, fawnrouter_config::read_clients) {
+            Ok(count) => known = format!(", {count} clients known"),
+            Err(error) => return wrong(&error),
+        }
+    }
+    println!("{}: sound; {switches} switches listed{known}", config.display());
+    ExitCode::SUCCESS
+}
+
+fn admission(socket: &Path, wanted: Ask, json: bool) -> ExitCode {
+    let command = match wanted {
+        Ask::Show => control::Command::Show,
+        Ask::Block { address, for_s } => control::Command::Block { address, for_s },
+        Ask::Free { address } => control::Command::Free { address },
+    };
+    match control::ask(socket, &command) {
+        Err(error) => {
+            eprintln!("{}: no gateway answers: {error}; is it running with this setting?", socket.display());
+            ExitCode::FAILURE
+        }
+        Ok(Reply::Failed(why)) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+        Ok(Reply::Shown(shown)) if json => match serde_json::to_string_pretty(&shown) {
+            Ok(text) => {
+                println!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(error) => wrong(&error),
+        },
+        Ok(Reply::Shown(shown)) => {
+            print!("{shown}");
+            ExitCode::SUCCESS
+        }
+        Ok(Reply::Done) => {
+            println!("done");
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn secret(name: &str, realm: &str, md5: bool) -> ExitCode {
+    let mut password = String::new();
+    if let Err(error) = std::io::stdin().read_line(&mut password) {
+        return wrong(&format!(
+            "the password cannot be read: {error}; give it as one line on standard input"
+        ));
+    }
+    let password = password.trim_end_matches(['\r', '\n']);
+    if password.is_empty() {
+        return wrong(&"the password is empty; give it as one line on standard input");
+    }
+    let hash = |algorithm| ha1(algorithm, name, realm, password).digits().to_owned();
+    let mut line = serde_json::json!({ "name": name, "sha256": hash(Algorithm::Sha256) });
+    if md5 {
+        line["md5"] = hash(Algorithm::Md5).into();
+    }
+    // JSON is YAML.
+    println!("  - {line}");
+    ExitCode::SUCCESS
+}
+
 fn wrong(error: &dyn std::fmt::Display) -> ExitCode {
     eprintln!("{error}");
     ExitCode::from(2)
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -2,22 +2,24 @@
 
 use std::cell::Cell;
 use std::io::{self, Read};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use fawnrouter_admission::{Conn, Reason};
+use fawnrouter_admission::{Conn, For, Reason};
 use fawnrouter_engine::{Input, whole_seconds};
-use fawnrouter_sip::{Limits, Message};
+use fawnrouter_sip::Message;
 use fawnrouter_ws::{
     CloseCode, Decoder, Event, HttpLimits, Opcode, Origins, Role, Terms, accept, close_payload, encode,
-    refuse,
+    forwarded_for, refuse,
 };
 use futures_lite::{AsyncWriteExt, future};
 
 use crate::core::Core;
+use crate::door::Refusal;
 use crate::outbox::Outbox;
+use crate::share::Share;
 
 /// How long a connection that ends may take to write its last bytes.
 const LAST_WORDS: Duration = Duration::from_secs(1);
@@ -32,11 +34,6 @@
     Ok((n > 0).then(|| take(&core.scratch.borrow()[..n])))
 }
 
-pub fn sip_limits(core: &Core) -> Limits {
-    let limits = &core.settings.limits;
-    Limits { head: limits.head_bytes, fields: limits.fields, body: limits.body_bytes }
-}
-
 /// The terms of the handshake.
 pub fn terms(core: &Core) -> Terms {
     let listen = &core.settings.listen;
@@ -53,19 +50,38 @@
 }
 
 /// Serves one connection to its end.
-pub async fn drive(core: Rc<Core>, conn: Conn, stream: Async<TcpStream>, peer: SocketAddr, terms: Rc<Terms>) {
-    serve(&core, conn, stream, peer, &terms).await;
-    core.gone(conn);
+pub async fn drive(
+    core: Rc<Core>,
+    (conn, outbox): (Conn, Rc<Outbox>),
+    stream: Async<TcpStream>,
+    peer: SocketAddr,
+    terms: Rc<Terms>,
+) {
+    serve(&core, conn, &outbox, stream, peer, &terms).await;
+    core.peers.borrow_mut().gone(conn);
+    core.door.borrow_mut().gone(core.clock.now(), conn);
+}
+
+/// The answer to a connection that does not get in.
+pub fn refusal(reason: Reason, wait: Duration) -> Vec<u8> {
+    refuse(503, reason.text(), Some(whole_seconds(wait)))
 }
 
 /// Tells a connection that does not get in when to come back. The answer goes out before its request is read, and
 /// what it sends is read for a moment, so that the answer is not lost to a reset.
-pub async fn turn_away(core: Rc<Core>, stream: Async<TcpStream>, reason: Reason, wait: Duration) {
-    let answer = refuse(503, reason.text(), Some(whole_seconds(wait)));
-    future::or(tell_and_end(&core, &stream, &answer), async {
+pub async fn turn_away(
+    core: Rc<Core>,
+    outbox: Rc<Outbox>,
+    stream: Async<TcpStream>,
+    reason: Reason,
+    wait: Duration,
+) {
+    let answer = refusal(reason, wait);
+    let told = future::or(tell_and_end(&core, &stream, &answer), async {
         Timer::after(LAST_WORDS).await;
-    })
-    .await;
+    });
+    future::or(told, outbox.killed()).await;
+    core.door.borrow_mut().refused(&outbox);
 }
 
 /// Writes the last answer and reads what still comes, so that the answer is not lost to a reset. Ends when the peer
@@ -76,23 +92,57 @@
     while let Ok(Some(())) = read_some(core, stream, |_| ()).await {}
 }
 
-async fn serve(core: &Rc<Core>, conn: Conn, stream: Async<TcpStream>, peer: SocketAddr, terms: &Terms) {
+async fn serve(
+    core: &Rc<Core>,
+    conn: Conn,
+    outbox: &Rc<Outbox>,
+    stream: Async<TcpStream>,
+    peer: SocketAddr,
+    terms: &Terms,
+) {
     let _ = stream.get_ref().set_nodelay(true);
     let limit = Duration::from_millis(core.settings.listen.handshake_ms);
-    let shaken = future::or(handshake(core, conn, &stream, terms), async {
+    let too_late = async {
         Timer::after(limit).await;
-        None
-    });
-    let Some(rest) = shaken.await else { return };
-    let outbox = Rc::new(Outbox::new(core.settings.limits.write_backlog_bytes));
-    let client = core.add_client(conn, outbox.clone());
-    core.input(Input::ClientUp { client, peer });
+        Err(refuse(408, "the handshake took too long", None))
+    };
+    // It may have to make room for another before it is done.
+    let made_room = async {
+        let why = outbox.ended().await.unwrap_or("the gateway ends");
+        Err(refuse(503, why, Some(whole_seconds(Duration::from_millis(core.settings.limits.retry_after_ms)))))
+    };
+    let shaken =
+        future::or(handshake(core, conn, &stream, peer, terms), future::or(made_room, too_late)).await;
+    let shaken = match shaken {
+        Ok(Some(shaken)) => shaken,
+        Ok(None) => return,
+        Err(answer) => {
+            return future::or(tell_and_end(core, &stream, &answer), async {
+                Timer::after(LAST_WORDS).await;
+            })
+            .await;
+        }
+    };
+    let Shaken { rest, origin, must_prove } = shaken;
+    // Guards against a connection that had to make room while its 101 was being written: nobody counts it any more,
+    // so it is told and ended. It could harm nobody else, as its place has been given away.
+    if !outbox.is_open() {
+        let mut goodbye = Vec::new();
+        encode(Opcode::Close, &close_payload(CloseCode::LATER, "others want in"), None, &mut goodbye);
+        return future::or(tell_and_end(core, &stream, &goodbye), async {
+            Timer::after(LAST_WORDS).await;
+        })
+        .await;
+    }
+    let client = core.peers.borrow_mut().shaken(conn, outbox.clone());
+    core.input(Input::ClientUp { client, peer, origin, must_prove });
     tracing::debug!(client = client.0, %peer, "client connected");
     let heard = Cell::new(Instant::now());
     let reading = async {
         let limits = &core.settings.limits;
         let mut decoder = Decoder::new(Role::Server, limits.head_bytes + limits.body_bytes);
-        let mut session = Session { core, client, outbox: &outbox, bad_in_a_row: 0 };
+        let held = Share::of(&core.ledger, For::Client);
+        let mut session = Session { core, client, outbox, held: &held, bad_in_a_row: 0 };
         let mut goes_on = session.take_all(&mut decoder, &rest);
         drop(rest);
         while goes_on {
@@ -109,9 +159,9 @@
     let writing = async {
         let _ = outbox.write_to(&stream).await;
     };
-    let watching = future::or(outbox.killed(), keep_alive(core, &outbox, &heard));
+    let watching = future::or(outbox.killed(), keep_alive(core, outbox, &heard));
     future::or(future::or(reading, writing), watching).await;
-    core.remove_client(client);
+    core.peers.borrow_mut().remove_client(client);
     core.input(Input::ClientDown { client });
     outbox.finish();
     let last = async {
@@ -125,28 +175,56 @@
     tracing::debug!(client = client.0, "client gone");
 }
 
-/// Agrees with the client; `Some` with the bytes that came behind its request.
-async fn handshake(core: &Core, conn: Conn, stream: &Async<TcpStream>, terms: &Terms) -> Option<Vec<u8>> {
+/// A handshake that is done.
+struct Shaken {
+    /// Bytes that came behind the request.
+    rest: Vec<u8>,
+    /// Where the client is.
+    origin: IpAddr,
+    /// It has to show who it is before it gets anything.
+    must_prove: bool,
+}
+
+/// Agrees with the client. `Ok(None)` if it went away, an error is the answer to one that does not get in.
+async fn handshake(
+    core: &Core,
+    conn: Conn,
+    stream: &Async<TcpStream>,
+    peer: SocketAddr,
+    terms: &Terms,
+) -> Result<Option<Shaken>, Vec<u8>> {
     let mut bytes = Vec::new();
-    loop {
+    let held = Share::of(&core.ledger, For::Client);
+    let accepted = loop {
         let more = read_some(core, stream, |b| bytes.extend_from_slice(b)).await;
         if !matches!(more, Ok(Some(()))) {
-            return None;
+            return Ok(None);
         }
-        let answer =
-            match accept(&bytes, terms).map(|done| done.map(|accepted| (accepted, core.shaken(conn)))) {
-                Ok(None) => continue,
-                Ok(Some((_, Err((reason, wait))))) => refuse(503, reason.text(), Some(whole_seconds(wait))),
-                Ok(Some((accepted, Ok(())))) => {
-                    let mut stream = stream;
-                    stream.write_all(&accepted.response).await.ok()?;
-                    return Some(bytes.split_off(accepted.consumed));
-                }
-                Err(error) => refuse(error.status(), &error.to_string(), None),
-            };
-        tell_and_end(core, stream, &answer).await;
-        return None;
+        if !held.set(bytes.len()) {
+            return Err(refuse(503, "no memory is left for the request", Some(1)));
+        }
+        match accept(&bytes, terms) {
+            Ok(None) => {}
+            Ok(Some(accepted)) => break accepted,
+            Err(error) => return Err(refuse(error.status(), &error.to_string(), None)),
+        }
+    };
+    let refused = |(reason, wait): Refusal| refusal(reason, wait);
+    let now = core.clock.now();
+    let mut origin = peer.ip();
+    if core.door.borrow().is_forwarder(origin) {
+        let hops = forwarded_for(accepted.forwarded.iter().map(String::as_str));
+        let hops = hops.map_err(|error| refuse(400, &error.to_string(), None))?;
+        let believed = core.door.borrow_mut().forwarded(now, conn, &hops).map_err(refused)?;
+        origin = believed.unwrap_or(origin);
     }
+    let must_prove =
+        core.door.borrow_mut().shaken(now, &mut core.peers.borrow_mut(), conn).map_err(refused)?;
+    let mut stream = stream;
+    if stream.write_all(&accepted.response).await.is_err() {
+        return Ok(None);
+    }
+    Ok(Some(Shaken { rest: bytes.split_off(accepted.consumed), origin, must_prove }))
 }
 
 /// Pings a silent client; ends when it stays silent.
@@ -170,6 +248,8 @@
     core: &'a Rc<Core>,
     client: fawnrouter_engine::ClientId,
     outbox: &'a Outbox,
+    /// Bytes of a message that is not whole yet.
+    held: &'a Share,
     bad_in_a_row: usize,
 }
 
@@ -177,6 +257,12 @@
     /// Works on all that is there; `false` when the connection is to end.
     fn take_all(&mut self, decoder: &mut Decoder, mut input: &[u8]) -> bool {
         loop {
+            if input.is_empty() {
+                if self.held.set(decoder.held()) {
+                    return true;
+                }
+                return self.end(CloseCode::LATER, "no memory is left for the message");
+            }
             let (code, reason) = match decoder.feed(&mut input) {
                 Ok(None) => return true,
                 Ok(Some(Event::Text(text))) => match self.message(text.as_bytes()) {
@@ -195,13 +281,18 @@
                 Ok(Some(Event::Close(code))) => (code.unwrap_or(CloseCode::NORMAL), String::new()),
                 Err(error) => (error.close_code(), error.to_string()),
             };
-            if !reason.is_empty() {
-                tracing::warn!(client = self.client.0, code = code.0, "connection closed: {reason}");
-            }
-            let payload = close_payload(code, &reason);
-            self.outbox.push(|out| encode(Opcode::Close, &payload, None, out));
-            return false;
+            return self.end(code, &reason);
+        }
+    }
+
+    /// Says why the connection ends; always `false`, as nothing more is taken.
+    fn end(&self, code: CloseCode, reason: &str) -> bool {
+        if !reason.is_empty() {
+            tracing::warn!(client = self.client.0, code = code.0, "connection closed: {reason}");
         }
+        let payload = close_payload(code, reason);
+        self.outbox.push(|out| encode(Opcode::Close, &payload, None, out));
+        false
     }
 
     /// One WebSocket message; a reason when the client has sent too much that is no SIP.
@@ -211,7 +302,7 @@
             self.outbox.push(|out| encode(Opcode::Text, b"\r\n", None, out));
             return None;
         }
-        match Message::parse(bytes, &sip_limits(self.core)) {
+        match Message::parse(bytes, &self.core.sip_limits()) {
             Ok(message) => {
                 self.bad_in_a_row = 0;
                 self.core.input(Input::ClientMessage { client: self.client, message: Box::new(message) });
--- /dev/null
+++ b/crates/fawnrouterd/src/control.rs
@@ -0,0 +1,294 @@
+//! Operators' commands to the running gateway: a local socket, one line of JSON each way.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::IpAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use fawnrouter_admission::{Snapshot, Who};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use serde::{Deserialize, Serialize};
+
+use crate::core::Core;
+use crate::serve::RunError;
+
+/// Operators that are served at once; others wait in the kernel.
+pub const MOST_OPERATORS: usize = 4;
+/// Bytes of a command.
+const LONGEST: usize = 4096;
+/// An operator's command takes no longer than this.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Holders that are listed.
+const MOST_LISTED: usize = 20;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "do", rename_all = "lowercase", deny_unknown_fields)]
+pub enum Command {
+    /// Who holds what, who is refused and why.
+    Show,
+    /// No connections of an address for a time.
+    Block {
+        /// The address.
+        address: IpAddr,
+        /// For how long, seconds.
+        for_s: u64,
+    },
+    /// An address is no longer blocked, and owes nothing for its rate.
+    Free {
+        /// The address.
+        address: IpAddr,
+    },
+}
+
+/// Somebody who holds something.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The address, or the client's name.
+    pub who: String,
+    /// Open connections, or calls.
+    pub count: usize,
+}
+
+/// Who holds what, who is refused and why.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    /// Whether admission is on.
+    pub admission: bool,
+    /// Open connections.
+    pub open: usize,
+    /// Of these, those that have yet to show what they are.
+    pub handshakes: usize,
+    /// Of these, known clients'.
+    pub known: usize,
+    /// Places kept for known clients, those that they hold included.
+    pub reserve: usize,
+    /// Connections for which there are descriptors.
+    pub room: usize,
+    /// Whether descriptors are missing.
+    pub famine: bool,
+    /// Bytes that wait.
+    pub buffered_bytes: usize,
+    /// Connections ended as they held too many.
+    pub over_budget: u64,
+    /// Connections refused, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Connections closed, by reason.
+    pub closed: BTreeMap<String, u64>,
+    /// Set-ups that wait for their turn, and that the decisions hold.
+    pub set_ups: (usize, usize),
+    /// Set-ups that the decisions may hold now.
+    pub set_up_room: usize,
+    /// Set-ups refused, by reason.
+    pub set_ups_refused: BTreeMap<String, u64>,
+    /// Proofs taken, challenges sent, connections given up for wrong answers.
+    pub proofs: (u64, u64, u64),
+    /// Strangers' addresses with most connections.
+    pub addresses: Vec<Holder>,
+    /// Known clients with most connections.
+    pub clients: Vec<Holder>,
+    /// Clients with most calls.
+    pub callers: Vec<Holder>,
+    /// Blocked addresses, with the seconds that are left.
+    pub blocked: Vec<(IpAddr, u64)>,
+}
+
+/// The gateway's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Reply {
+    /// What was asked to be shown.
+    Shown(Box<Shown>),
+    /// It is done.
+    Done,
+    /// It cannot be done, and why.
+    Failed(String),
+}
+
+/// Makes the socket, for its own user only. One that is left over from a gateway that is gone is replaced.
+pub fn listen(path: &Path) -> Result<Async<UnixListener>, RunError> {
+    let make = || {
+        if UnixStream::connect(path).is_ok() {
+            return Err(io::Error::other("another gateway listens there"));
+        }
+        use std::os::unix::fs::FileTypeExt as _;
+        if std::fs::symlink_metadata(path).is_ok_and(|m| m.file_type().is_socket()) {
+            std::fs::remove_file(path)?;
+        }
+        let listener = UnixListener::bind(path)?;
+        std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+        Async::new(listener)
+    };
+    make().map_err(|error| RunError::Control { path: PathBuf::from(path), error })
+}
+
+/// Serves operators for ever.
+pub async fn serve(core: Rc<Core>, listener: Async<UnixListener>) {
+    let served = Rc::new(Cell::new(0usize));
+    loop {
+        while served.get() >= MOST_OPERATORS {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(Duration::from_millis(100)).await;
+            continue;
+        };
+        served.set(served.get() + 1);
+        let (working, served) = (core.clone(), served.clone());
+        core.spawn(async move {
+            let too_long = async {
+                Timer::after(PATIENCE).await;
+                Ok(())
+            };
+            let _: io::Result<()> = future::or(answer(&working, stream), too_long).await;
+            served.set(served.get() - 1);
+        });
+    }
+}
+
+async fn answer(core: &Core, mut stream: Async<UnixStream>) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    while !bytes.contains(&b'\n') && bytes.len() < LONGEST {
+        let mut buffer = [0; 512];
+        let n = stream.read(&mut buffer).await?;
+        if n == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&buffer[..n]);
+    }
+    let reply = match serde_json::from_slice(&bytes) {
+        Ok(command) => carry_out(core, &command),
+        Err(error) => Reply::Failed(format!("the command cannot be read: {error}")),
+    };
+    let mut text = serde_json::to_vec(&reply).map_err(io::Error::other)?;
+    text.push(b'\n');
+    stream.write_all(&text).await
+}
+
+fn carry_out(core: &Core, command: &Command) -> Reply {
+    let now = core.clock.now().0;
+    if matches!(command, Command::Show) {
+        return Reply::Shown(Box::new(show(core)));
+    }
+    let mut door = core.door.borrow_mut();
+    let Some(admission) = &mut door.admission else {
+        return Reply::Failed("admission is off; add a section `admission` to the settings".into());
+    };
+    match command {
+        Command::Block { address, for_s } => {
+            if !admission.block(now, *address, Duration::from_secs(*for_s)) {
+                return Reply::Failed("too many addresses are blocked; free one".into());
+            }
+            tracing::warn!(%address, for_s, "address blocked by an operator");
+        }
+        Command::Free { address } => {
+            admission.free(*address);
+            tracing::warn!(%address, "address freed by an operator");
+        }
+        Command::Show => {}
+    }
+    Reply::Done
+}
+
+fn show(core: &Core) -> Shown {
+    let (door, ledger) = (core.door.borrow(), core.ledger.borrow());
+    let Snapshot { open, handshakes, known, reserve, refused, evicted, addresses, clients, blocked } =
+        door.snapshot(MOST_LISTED);
+    let holder = |h: fawnrouter_admission::Holding| Holder { who: h.who, count: h.open };
+    let mut shown = Shown {
+        admission: door.admission.is_some(),
+        open: open.max(core.peers.borrow().open()),
+        handshakes,
+        known,
+        reserve,
+        room: door.descriptors.clients(),
+        famine: door.descriptors.in_famine(),
+        buffered_bytes: ledger.used(),
+        over_budget: ledger.refused(),
+        refused: refused.into_iter().map(|(r, n)| (r.text().to_owned(), n)).collect(),
+        closed: evicted.into_iter().map(|(e, n)| (e.text().to_owned(), n)).collect(),
+        addresses: addresses.into_iter().map(holder).collect(),
+        clients: clients.into_iter().map(holder).collect(),
+        blocked: blocked.into_iter().map(|(a, left)| (a, left.as_secs())).collect(),
+        ..Shown::default()
+    };
+    core.with_engine(|engine| {
+        let c = engine.counters();
+        shown.proofs = (c.proofs, c.challenged, c.impostors);
+        let Some(set_ups) = engine.set_ups() else { return };
+        shown.set_ups = (set_ups.waiting(), set_ups.held());
+        shown.set_up_room = set_ups.room();
+        shown.set_ups_refused = set_ups.refused().iter().map(|(r, n)| (r.text().to_owned(), *n)).collect();
+        let name = |who: Who| match who {
+            Who::Known(name) => name.to_string(),
+            Who::Stranger(address) => address.to_string(),
+        };
+        let largest = set_ups.largest(MOST_LISTED).into_iter();
+        shown.callers = largest.map(|(who, _, calls)| Holder { who: name(who), count: calls }).collect();
+    });
+    shown
+}
+
+/// An operator's side: sends a command and waits for the answer.
+///
+/// # Errors
+/// Where no gateway answers.
+pub fn ask(path: &Path, command: &Command) -> io::Result<Reply> {
+    let mut stream = UnixStream::connect(path)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let mut text = serde_json::to_vec(command).map_err(io::Error::other)?;
+    text.push(b'\n');
+    stream.write_all(&text)?;
+    let mut reply = Vec::new();
+    stream.read_to_end(&mut reply)?;
+    serde_json::from_slice(&reply).map_err(io::Error::other)
+}
+
+impl std::fmt::Display for Shown {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let state = if self.admission { "on" } else { "off" };
+        writeln!(f, "admission          {state}")?;
+        writeln!(
+            f,
+            "connections        {} open, {} of them known clients', {} yet to show what they are",
+            self.open, self.known, self.handshakes
+        )?;
+        writeln!(f, "kept for known     {}", self.reserve)?;
+        let famine = if self.famine { "; DESCRIPTORS ARE MISSING" } else { "" };
+        writeln!(f, "descriptors for    {} connections{famine}", self.room)?;
+        writeln!(f, "bytes that wait    {} ({} ended over it)", self.buffered_bytes, self.over_budget)?;
+        let (waiting, held) = self.set_ups;
+        writeln!(f, "set-ups            {waiting} wait, {held} held of {} that may be", self.set_up_room)?;
+        let (proofs, asked, impostors) = self.proofs;
+        writeln!(
+            f,
+            "proofs             {proofs} taken, {asked} asked for, {impostors} connections given up"
+        )?;
+        for (title, counts) in [
+            ("connections refused", &self.refused),
+            ("connections closed", &self.closed),
+            ("set-ups refused", &self.set_ups_refused),
+        ] {
+            for (reason, count) in counts {
+                writeln!(f, "{title:<20} {count:>8}  {reason}")?;
+            }
+        }
+        for (title, holders) in
+            [("address", &self.addresses), ("known client", &self.clients), ("calls of", &self.callers)]
+        {
+            for holder in holders {
+                writeln!(f, "{title:<20} {:>8}  {}", holder.count, holder.who)?;
+            }
+        }
+        for (address, left) in &self.blocked {
+            writeln!(f, "blocked              {left:>6} s  {address}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fawnrouterd/src/door.rs
@@ -0,0 +1,349 @@
+//! Who gets in: the decisions of `fawnrouter_admission` with the connections that they concern.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fawnrouter_admission::{
+    Admission, Alarms, Arrival, Change, Conn, Descriptors, Eviction, Line, Place, Reason, SetUpRefusal,
+    Snapshot, Spread, Step, Verdict,
+};
+use fawnrouter_engine::fawnrouter::Time;
+use fawnrouter_ws::CloseCode;
+
+use crate::outbox::Outbox;
+use crate::peers::Peers;
+
+/// What lasts and is told in the log when it begins and ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Cause {
+    Refused(Reason),
+    Evicted(Eviction),
+    SetUp(SetUpRefusal),
+}
+
+impl Cause {
+    const fn text(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Refused(reason) => ("connections refused", reason.text()),
+            Self::Evicted(why) => ("connections closed", why.text()),
+            Self::SetUp(why) => ("set-ups refused", why.text()),
+        }
+    }
+}
+
+/// Nothing of a kind for this long, and it is over.
+const CALM: Duration = Duration::from_secs(5);
+/// What goes on is told again after this time.
+const AGAIN: Duration = Duration::from_secs(60);
+
+/// Whether a connection gets in, and on what terms.
+pub enum Entry {
+    /// It is served.
+    In(Conn, Rc<Outbox>),
+    /// It is told why not and when to come back; the outbox ends it when another needs its descriptor.
+    Out(Reason, Duration, Rc<Outbox>),
+}
+
+/// Why a connection does not get in, and how long it should stay away.
+pub type Refusal = (Reason, Duration);
+
+/// The decisions and what they go by.
+pub struct Door {
+    pub admission: Option<Admission>,
+    pub descriptors: Descriptors,
+    /// Those that are being told that they do not get in, the first one first.
+    refusing: VecDeque<(u64, Rc<Outbox>)>,
+    next_refused: u64,
+    /// Without admission: connections in all, and the time to stay away.
+    connections: usize,
+    retry_after: Duration,
+    spread: Spread,
+    refused: BTreeMap<Reason, u64>,
+    alarms: Alarms<Cause>,
+    told: BTreeMap<Cause, u64>,
+}
+
+impl Door {
+    pub fn new(
+        admission: Option<Admission>,
+        descriptors: Descriptors,
+        connections: usize,
+        retry_after: Duration,
+    ) -> Self {
+        Self {
+            admission,
+            connections: descriptors.divide(connections, connections / 4 + 16).0,
+            descriptors,
+            refusing: VecDeque::new(),
+            next_refused: 0,
+            retry_after,
+            spread: Spread::new(0),
+            refused: BTreeMap::new(),
+            alarms: Alarms::new(CALM, AGAIN),
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// Refuses for a reason that admission did not give.
+    fn refuse(&mut self, now: Time, reason: Reason) -> Refusal {
+        let wait = match &mut self.admission {
+            Some(admission) => admission.refuse_for(now.0, reason),
+            None => {
+                *self.refused.entry(reason).or_default() += 1;
+                self.spread.next(Duration::ZERO, self.retry_after)
+            }
+        };
+        (reason, wait)
+    }
+
+    /// A connection has been accepted by the kernel: whether it gets in.
+    pub fn arrive(
+        &mut self,
+        now: Time,
+        peers: &mut Peers,
+        address: IpAddr,
+        outbox: impl FnOnce() -> Outbox,
+    ) -> Entry {
+        let outbox = Rc::new(outbox());
+        let place = self.descriptors.arrive(peers.open(), self.refusing.len());
+        let verdict = if place != Place::Serve {
+            Err(self.refuse(now, Reason::Descriptors))
+        } else {
+            let conn = peers.number();
+            let verdict = self.admission.as_mut().map(|a| a.arrive(now.0, Arrival { conn, address }));
+            match verdict {
+                Some(Verdict::Refuse { reason, retry_after }) => Err((reason, retry_after)),
+                Some(Verdict::Replace(victim)) => {
+                    peers.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
+                    Ok(conn)
+                }
+                _ => Ok(conn),
+            }
+        };
+        match verdict {
+            Ok(conn) => {
+                peers.arrived(conn, outbox.clone());
+                Entry::In(conn, outbox)
+            }
+            Err((reason, wait)) => {
+                if self.descriptors.refuse(self.refusing.len()) == Place::RefuseAfterOldest
+                    && let Some((_, oldest)) = self.refusing.pop_front()
+                {
+                    oldest.kill();
+                }
+                self.next_refused += 1;
+                self.refusing.push_back((self.next_refused, outbox.clone()));
+                Entry::Out(reason, wait, outbox)
+            }
+        }
+    }
+
+    /// One that was being refused has ended.
+    pub fn refused(&mut self, outbox: &Rc<Outbox>) {
+        self.refusing.retain(|(_, other)| !Rc::ptr_eq(other, outbox));
+    }
+
+    /// Whether what this peer says of where a connection comes from is believed.
+    pub fn is_forwarder(&self, peer: IpAddr) -> bool {
+        self.admission.as_ref().is_some_and(|a| a.is_forwarder(peer))
+    }
+
+    /// A forwarder said through which hops a connection came: the address that is believed, and whether it gets in.
+    pub fn forwarded(
+        &mut self,
+        now: Time,
+        conn: Conn,
+        hops: &[Option<IpAddr>],
+    ) -> Result<Option<IpAddr>, Refusal> {
+        let Some(admission) = &mut self.admission else { return Ok(None) };
+        let Some(address) = admission.believed(hops) else { return Ok(None) };
+        match admission.forwarded(now.0, conn, address) {
+            Verdict::Refuse { reason, retry_after } => Err((reason, retry_after)),
+            _ => Ok(Some(address)),
+        }
+    }
+
+    /// A handshake is done: whether the connection stays, and if so, whether it has to show who it is.
+    pub fn shaken(&mut self, now: Time, peers: &mut Peers, conn: Conn) -> Result<bool, Refusal> {
+        let full = peers.clients() >= self.connections;
+        match self.admission.as_mut().map(|a| a.shaken(now.0, conn)) {
+            Some(Verdict::Refuse { reason, retry_after }) => Err((reason, retry_after)),
+            Some(Verdict::Probation) => Ok(true),
+            Some(Verdict::Replace(victim)) => {
+                peers.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
+                Ok(false)
+            }
+            Some(Verdict::Accept) => Ok(false),
+            // Without admission the limit on connections is all there is.
+            None if full => Err(self.refuse(now, Reason::Full)),
+            None => Ok(false),
+        }
+    }
+
+    /// A connection has shown that it is a known client's. An error is why it cannot stay.
+    pub fn known(
+        &mut self,
+        now: Time,
+        peers: &mut Peers,
+        conn: Conn,
+        client: &Arc<str>,
+    ) -> Result<(), Reason> {
+        match self.admission.as_mut().map(|a| a.known(now.0, conn, client)) {
+            Some(Verdict::Refuse { reason, .. }) => Err(reason),
+            Some(Verdict::Replace(victim)) => {
+                peers.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// A connection does something, with so many calls.
+    pub fn active(&mut self, now: Time, conn: Conn, calls: usize) {
+        if let Some(admission) = &mut self.admission {
+            admission.active(now.0, conn, u32::try_from(calls).unwrap_or(u32::MAX));
+        }
+    }
+
+    /// A connection is gone, at whatever stage.
+    pub fn gone(&mut self, now: Time, conn: Conn) {
+        if let Some(admission) = &mut self.admission {
+            admission.closed(now.0, conn);
+        }
+    }
+
+    /// The kernel had no descriptor for a connection.
+    pub fn exhausted(&mut self, now: Time, spare: bool) -> Step {
+        let (step, change) = self.descriptors.exhausted(now.0, spare);
+        if change == Some(Change::Began) {
+            tracing::warn!(
+                "no descriptor is left: newcomers are refused one by one, those that are in go on"
+            );
+        }
+        step
+    }
+
+    /// A newcomer that is refused with the spare descriptor: how long it should stay away.
+    pub fn refuse_with_spare(&mut self, now: Time) -> Refusal {
+        self.refuse(now, Reason::Descriptors)
+    }
+
+    /// The kernel had a descriptor for a connection.
+    pub fn accepted(&mut self, now: Time) {
+        if let Some(Change::Ended(lasted)) = self.descriptors.accepted(now.0) {
+            tracing::info!(lasted_ms = lasted.as_secs_f64() * 1e3, "descriptors are there again");
+        }
+    }
+
+    /// Closes those that are idle, do not read, or have not shown who they are.
+    pub fn sweep(&mut self, now: Time, peers: &mut Peers) {
+        let Some(admission) = &mut self.admission else { return };
+        for (conn, peer) in peers.conns() {
+            if peer.client.is_some() {
+                admission.reads(now.0, conn, peer.outbox.backlog(), peer.outbox.taken());
+            }
+        }
+        for (conn, why) in admission.sweep(now.0) {
+            // One that does not read takes no goodbye either.
+            if why == Eviction::Slow
+                && let Some((_, peer)) = peers.conns().find(|(c, _)| *c == conn)
+            {
+                peer.outbox.kill();
+            }
+            peers.close(conn, CloseCode::LATER, why.text());
+        }
+    }
+
+    /// What is held and was refused.
+    pub fn snapshot(&self, most: usize) -> Snapshot {
+        let mut seen = self.admission.as_ref().map(|a| a.snapshot(most)).unwrap_or_default();
+        for (reason, count) in &self.refused {
+            *seen.refused.entry(*reason).or_default() += count;
+        }
+        seen
+    }
+
+    /// Writes a line for each change of state.
+    pub fn tell(&mut self, now: Time, set_ups: &BTreeMap<SetUpRefusal, u64>) {
+        let seen = self.snapshot(0);
+        let counts = (seen.refused.into_iter().map(|(r, n)| (Cause::Refused(r), n)))
+            .chain(seen.evicted.into_iter().map(|(e, n)| (Cause::Evicted(e), n)))
+            .chain(set_ups.iter().map(|(r, n)| (Cause::SetUp(*r), *n)));
+        let mut lines = Vec::new();
+        for (cause, count) in counts {
+            let told = self.told.entry(cause).or_default();
+            let more = count - std::mem::replace(told, count);
+            if more > 0 {
+                lines.extend(self.alarms.note(now.0, cause, more));
+            }
+        }
+        lines.extend(self.alarms.pass(now.0));
+        for line in lines {
+            match line {
+                Line::Began(cause) => tracing::warn!("{}: {}", cause.text().0, cause.text().1),
+                Line::GoesOn(cause, count) => {
+                    tracing::warn!(count, "still {}: {}", cause.text().0, cause.text().1);
+                }
+                Line::Over(cause, lasted, count) => {
+                    let lasted_s = lasted.as_secs_f64();
+                    tracing::info!(count, lasted_s, "no more {}: {}", cause.text().0, cause.text().1);
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use fawnrouter_admission::DescriptorSettings;
+    use futures_lite::future;
+
+    fn door(connections: usize, limit: usize) -> Door {
+        let text = format!(
+            "gateway: {{ number: 0, count: 1, seed: 1 }}\nlisten: {{ address: '127.0.0.1:0' }}\n\
+             switches: {{ file: s.yaml }}\nclasses: [{{ name: a, aim_ms: 1, deadline_ms: 2 }}]\n\
+             limits: {{ connections: {connections} }}\nadmission: {{}}\n"
+        );
+        let settings = fawnrouter_config::parse("t.yaml", &text).expect("sound settings");
+        let admission = settings.admission(1).map(|a| Admission::new(a).expect("sound settings"));
+        let descriptors = DescriptorSettings { limit, in_use: 0, trunks: 0, files: 0, control: 0 };
+        let descriptors = Descriptors::new(descriptors).expect("room");
+        Door::new(admission, descriptors, connections, Duration::from_secs(2))
+    }
+
+    fn arrive(door: &mut Door, peers: &mut Peers, n: u8) -> Entry {
+        door.arrive(Time(Duration::from_secs(1)), peers, IpAddr::from([127, 0, 0, n]), || Outbox::new(1000))
+    }
+
+    #[test]
+    fn a_connection_that_makes_room_while_its_upgrade_is_written_is_told_why() {
+        let (mut door, mut peers) = (door(1, 1000), Peers::default());
+        let now = Time(Duration::from_secs(1));
+        let Entry::In(first, outbox) = arrive(&mut door, &mut peers, 1) else { panic!("room") };
+        assert_eq!(door.shaken(now, &mut peers, first).ok(), Some(false));
+        let Entry::In(second, other) = arrive(&mut door, &mut peers, 1) else { panic!("room") };
+        assert_eq!(door.shaken(now, &mut peers, second).ok(), Some(false));
+        assert_eq!(future::block_on(outbox.ended()), Some(Eviction::MadeRoom.text()));
+        assert!(other.is_open() && peers.open() == 1);
+    }
+
+    #[test]
+    fn beyond_the_descriptors_newcomers_are_refused_and_the_first_refused_is_let_go() {
+        let (mut door, mut peers) = (door(1000, 40), Peers::default());
+        let mut refused = Vec::new();
+        for n in 0..40 {
+            if let Entry::Out(reason, wait, outbox) = arrive(&mut door, &mut peers, n) {
+                assert!(reason == Reason::Descriptors && wait >= Duration::from_secs(2));
+                refused.push(outbox);
+            }
+        }
+        // 40 less the spare, two to refuse with and eight for what was forgotten.
+        assert_eq!((peers.open(), refused.len()), (29, 11));
+        assert!(refused[..9].iter().all(|o| !o.is_open()) && refused[9..].iter().all(|o| o.is_open()));
+        assert_eq!(door.snapshot(0).refused[&Reason::Descriptors], 11);
+    }
+}
--- a/crates/fawnrouterd/src/lib.rs
+++ b/crates/fawnrouterd/src/lib.rs
@@ -4,13 +4,19 @@
 //! Drivers decide how bytes move and nothing else: they read, feed a codec, call the engine, write what it says and
 //! wake it when it asks. Every buffer has a limit from the settings; beyond it a connection is closed.
 
+mod accept;
 mod cli;
 mod client;
+mod clock;
+pub mod control;
 mod core;
+mod door;
 mod list;
 mod log;
 mod outbox;
+mod peers;
 mod serve;
+mod share;
 mod trunk;
 
 pub use cli::{Cli, Command, main_with};
--- a/crates/fawnrouterd/src/list.rs
+++ b/crates/fawnrouterd/src/list.rs
@@ -1,11 +1,11 @@
-//! The watched file that lists the switches. The catalogue subsystem will feed the same input.
+//! The watched files that list the switches and the known clients. The catalogue subsystem will feed the same input.
 
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
 use async_io::Timer;
-use fawnrouter_config::read_switches;
+use fawnrouter_config::{ClientLine, ConfigError, read_clients, read_switches};
 use fawnrouter_engine::Input;
 use fawnrouter_engine::fawnrouter::ListKind;
 
@@ -29,8 +29,15 @@
     Some((Some(stamp), std::fs::read_to_string(path).map_err(|e| format!("cannot be read: {e}"))))
 }
 
-/// Looks at the file for ever. A file that is missing or wrong is told once and changes nothing.
-pub async fn watch(core: Rc<Core>, path: PathBuf) {
+/// Looks at a file for ever, and hands on what `read` makes of it. A file that is missing or wrong is told once and
+/// changes nothing.
+async fn watch<T>(
+    core: Rc<Core>,
+    what: &'static str,
+    path: PathBuf,
+    read: fn(&str, &str) -> Result<Vec<T>, ConfigError>,
+    take: impl Fn(&Rc<Core>, Vec<T>),
+) {
     let pause = Duration::from_millis(core.settings.switches.poll_ms);
     let name = path.display().to_string();
     let (mut known, mut last): (Option<Stamp>, Option<Result<String, String>>) = (None, None);
@@ -43,16 +50,13 @@
         if let Some((stamp, text)) = seen {
             known = stamp;
             if last.as_ref() != Some(&text) {
-                let list = text
-                    .as_ref()
-                    .map_err(Clone::clone)
-                    .and_then(|t| read_switches(&name, t).map_err(|e| e.to_string()));
-                match list {
-                    Ok(switches) => {
-                        tracing::info!(switches = switches.len(), "list of switches read");
-                        core.input(Input::List { kind: ListKind::Whole, switches });
+                let list = text.as_ref().map_err(Clone::clone);
+                match list.and_then(|t| read(&name, t).map_err(|e| e.to_string())) {
+                    Ok(list) => {
+                        tracing::info!(entries = list.len(), "{what} read");
+                        take(&core, list);
                     }
-                    Err(error) => tracing::warn!("list of switches kept as it was: {name}: {error}"),
+                    Err(error) => tracing::warn!("{what} kept as it was: {name}: {error}"),
                 }
                 last = Some(text);
             }
@@ -60,3 +64,20 @@
         Timer::after(pause).await;
     }
 }
+
+/// The list of switches.
+pub async fn switches(core: Rc<Core>, path: PathBuf) {
+    let take = |core: &Rc<Core>, switches| core.input(Input::List { kind: ListKind::Whole, switches });
+    watch(core, "list of switches", path, read_switches, take).await;
+}
+
+/// The list of known clients, with their limits.
+pub async fn clients(core: Rc<Core>, path: PathBuf) {
+    let take = |core: &Rc<Core>, clients: Vec<ClientLine>| {
+        if let Some(admission) = &mut core.door.borrow_mut().admission {
+            admission.set_client_limits(core.settings.client_connections(&clients));
+        }
+        core.input(Input::Clients(core.settings.known_clients(&clients)));
+    };
+    watch(core, "list of known clients", path, read_clients, take).await;
+}
--- a/crates/fawnrouterd/src/outbox.rs
+++ b/crates/fawnrouterd/src/outbox.rs
@@ -8,6 +8,8 @@
 
 use async_io::Async;
 
+use crate::share::Share;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Open,
@@ -24,22 +26,37 @@
     writing: RefCell<Vec<u8>>,
     written: Cell<usize>,
     limit: usize,
+    share: Share,
+    /// Bytes written since the start.
+    taken: Cell<u64>,
     state: Cell<State>,
+    /// Why it was ended, if somebody gave a reason.
+    why: Cell<Option<&'static str>>,
     waker: Cell<Option<Waker>>,
     killed: Cell<Option<Waker>>,
+    ended: Cell<Option<Waker>>,
 }
 
 impl Outbox {
     /// An empty one that holds `limit` bytes.
     pub fn new(limit: usize) -> Self {
+        Self::sharing(limit, Share::unbound())
+    }
+
+    /// One whose bytes are of an account.
+    pub fn sharing(limit: usize, share: Share) -> Self {
         Self {
             waiting: RefCell::default(),
             writing: RefCell::default(),
             written: Cell::new(0),
             limit,
+            share,
+            taken: Cell::new(0),
             state: Cell::new(State::Open),
+            why: Cell::new(None),
             waker: Cell::new(None),
             killed: Cell::new(None),
+            ended: Cell::new(None),
         }
     }
 
@@ -50,7 +67,8 @@
             return;
         }
         write(&mut self.waiting.borrow_mut());
-        if self.backlog() > self.limit {
+        let backlog = self.backlog();
+        if !self.share.set(backlog) || backlog > self.limit {
             self.kill();
         }
         if let Some(waker) = self.waker.take() {
@@ -63,21 +81,51 @@
         self.waiting.borrow().len() + self.writing.borrow().len() - self.written.get()
     }
 
+    /// Bytes written since the start.
+    pub fn taken(&self) -> u64 {
+        self.taken.get()
+    }
+
+    /// Whether it still takes bytes.
+    pub fn is_open(&self) -> bool {
+        self.state.get() == State::Open
+    }
+
     /// Takes no more; the writer ends when all is written.
     pub fn finish(&self) {
         if self.state.get() == State::Open {
             self.state.set(State::Finishing);
         }
-        if let Some(waker) = self.waker.take() {
+        for waker in [self.waker.take(), self.ended.take()].into_iter().flatten() {
             waker.wake();
         }
     }
 
+    /// As [`Outbox::finish`], for a reason.
+    pub fn finish_for(&self, why: &'static str) {
+        self.why.set(Some(why));
+        self.finish();
+    }
+
+    /// Ends when nothing more is taken; with the reason, if there was one.
+    pub async fn ended(&self) -> Option<&'static str> {
+        poll_fn(|cx| {
+            if self.state.get() != State::Open {
+                return Poll::Ready(());
+            }
+            self.ended.set(Some(cx.waker().clone()));
+            Poll::Pending
+        })
+        .await;
+        self.why.get()
+    }
+
     /// Drops what waits and ends the connection.
     pub fn kill(&self) {
         self.state.set(State::Dead);
         self.waiting.borrow_mut().clear();
-        for waker in [self.waker.take(), self.killed.take()].into_iter().flatten() {
+        self.share.set(0);
+        for waker in [self.waker.take(), self.killed.take(), self.ended.take()].into_iter().flatten() {
             waker.wake();
         }
     }
@@ -126,6 +174,8 @@
                 return Err(io::ErrorKind::WriteZero.into());
             }
             self.written.set(self.written.get() + wrote);
+            self.taken.set(self.taken.get() + wrote as u64);
+            self.share.set(self.backlog());
         }
     }
 }
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -9,15 +9,18 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use fawnrouter_admission::Admission;
+use fawnrouter_admission::{Admission, DescriptorSettings, Descriptors, TooFew};
 use fawnrouter_config::Settings;
 use fawnrouter_engine::fawnrouter::SettingsError;
 use fawnrouter_engine::{Engine, EngineSettings, Input};
 use fawnrouter_ws::CloseCode;
 use futures_lite::{StreamExt, future};
 
+use rustix::process::Resource;
+
 use crate::core::Core;
-use crate::{client, list};
+use crate::door::Door;
+use crate::{accept, control, list, trunk};
 
 /// Why the gateway cannot run.
 #[derive(Debug, thiserror::Error)]
@@ -33,6 +36,20 @@
     /// Signals cannot be caught.
     #[error("cannot catch signals: {0}")]
     Signals(io::Error),
+    /// The limit of descriptors is too low.
+    #[error(transparent)]
+    Descriptors(#[from] TooFew),
+    /// The system has no random bytes.
+    #[error("the system gives no random bytes: {0}")]
+    Random(String),
+    /// The socket for operators cannot be made.
+    #[error("{path}: cannot listen for operators: {error}; remove the file or change control.socket")]
+    Control {
+        /// Where.
+        path: PathBuf,
+        /// Why.
+        error: io::Error,
+    },
     /// The admission of connections refuses the settings.
     #[error("admission: {0}")]
     Admission(#[from] fawnrouter_admission::SettingsError),
@@ -41,15 +58,10 @@
     Settings(#[from] SettingsError),
 }
 
-/// Pause after a failed accept, as when the process has no descriptor left: the next one comes when one is free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Last bytes get this long to be written at the end.
 const LAST_WORDS: Duration = Duration::from_millis(500);
 /// Between two lines of counts in the log.
 const COUNTS: Duration = Duration::from_secs(60);
-/// Handshakes that may be under way beside the connections that are open, as a share of those (and 16).
-const HANDSHAKES_SHARE: usize = 4;
-
 /// Runs a gateway until a signal; `folder` is where relative paths count from, `ready` is told where clients connect.
 /// `true` if it drained, `false` if it was cut short.
 ///
@@ -79,19 +91,42 @@
     let bound = listener.get_ref().local_addr().map_err(listen)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(RunError::Signals)?;
     let words = settings.log.level >= fawnrouter_config::LogLevel::Debug;
-    let engine = engine(settings.engine(fresh_seed(), words))?;
-    let admission = settings.admission(fresh_seed()).map(Admission::new).transpose()?;
+    let key = secret()?;
+    let seed = u64::from_le_bytes(key[..8].try_into().unwrap_or_default());
+    let mut engine_settings = settings.engine(seed, words);
+    engine_settings.auth = settings.auth(key);
+    let engine = engine(engine_settings)?;
+    let descriptors = descriptors(&settings)?;
+    let admission = settings.admission(seed).map(|a| Admission::new(a.within(&descriptors))).transpose()?;
+    let limits = &settings.limits;
+    if descriptors.clients() < limits.connections {
+        let room = descriptors.clients();
+        tracing::warn!(
+            room,
+            "limits.connections is {}, and there are descriptors for fewer: raise the limit of the process (ulimit -n)",
+            limits.connections
+        );
+    }
+    let retry_after = Duration::from_millis(limits.retry_after_ms);
+    let door = Door::new(admission, descriptors, limits.connections, retry_after);
+    let operators =
+        settings.control.as_ref().map(|c| control::listen(&folder.join(&c.socket))).transpose()?;
     let file = folder.join(&settings.switches.file);
+    let clients = settings.clients.as_ref().map(|c| folder.join(&c.file));
     let path = settings.listen.path.clone();
     let executor = Rc::new(LocalExecutor::new());
-    let core = Core::new(settings, engine, admission, &executor);
+    let core = Core::new(settings, engine, door, trunk::open, &executor);
     let all = async {
-        let tasks = [
-            executor.spawn(list::watch(core.clone(), file)),
+        // One line a driver.
+        let mut tasks = vec![
+            executor.spawn(list::switches(core.clone(), file)),
             executor.spawn(wake(core.clone())),
+            executor.spawn(house(core.clone())),
             executor.spawn(counts(core.clone())),
         ];
-        let accepting = executor.spawn(accept(core.clone(), listener));
+        tasks.extend(clients.map(|file| executor.spawn(list::clients(core.clone(), file))));
+        tasks.extend(operators.map(|socket| executor.spawn(control::serve(core.clone(), socket))));
+        let accepting = executor.spawn(accept::accept(core.clone(), listener));
         tracing::info!(%bound, "gateway ready");
         ready(bound, &path);
         signals.next().await;
@@ -116,15 +151,18 @@
                     },
                 );
                 let why = cut.await;
-                tracing::warn!(left = core.live_calls(), "{why}: calls that are left are ended");
+                tracing::warn!(
+                    left = core.with_engine(Engine::live_calls),
+                    "{why}: calls that are left are ended"
+                );
                 core.input(Input::Stop);
                 why != "second signal"
             },
         );
         let clean = clean.await;
-        core.finish_clients(CloseCode::AWAY, "gateway ends");
+        core.peers.borrow().close_all(CloseCode::AWAY, "gateway ends");
         let flushed = async {
-            while core.backlog() > 0 {
+            while core.peers.borrow().backlog() > 0 {
                 Timer::after(Duration::from_millis(5)).await;
             }
         };
@@ -139,6 +177,10 @@
     Ok(async_io::block_on(executor.run(all)))
 }
 
+async fn house(core: Rc<Core>) {
+    core.keep_house().await;
+}
+
 async fn wake(core: Rc<Core>) {
     core.wake_engine().await;
 }
@@ -150,39 +192,20 @@
     }
 }
 
-async fn accept(core: Rc<Core>, listener: Async<TcpListener>) {
-    let terms = Rc::new(client::terms(&core));
-    let under_way = Rc::new(std::cell::Cell::new(0usize));
-    let most = core.settings.limits.connections;
-    let most = most.saturating_add(most / HANDSHAKES_SHARE + 16);
-    loop {
-        match listener.accept().await {
-            // Beyond the limit with its room for handshakes there is nobody to answer politely: closed at once.
-            Ok((stream, _)) if under_way.get() >= most => drop(stream),
-            Ok((stream, peer)) => {
-                let (serving, terms, under_way) = (core.clone(), terms.clone(), under_way.clone());
-                under_way.set(under_way.get() + 1);
-                let verdict = core.arrive(peer.ip());
-                core.spawn(async move {
-                    match verdict {
-                        Ok(conn) => client::drive(serving, conn, stream, peer, terms).await,
-                        Err((reason, wait)) => client::turn_away(serving, stream, reason, wait).await,
-                    }
-                    under_way.set(under_way.get() - 1);
-                });
-            }
-            Err(error) => {
-                tracing::warn!("cannot accept a connection: {error}");
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+/// What may go wrong at the start, with the descriptors that are there.
+fn descriptors(settings: &Settings) -> Result<Descriptors, TooFew> {
+    let limit = rustix::process::getrlimit(Resource::Nofile).current;
+    let limit = limit.and_then(|n| usize::try_from(n).ok()).unwrap_or(usize::MAX / 2);
+    // Without a proc file system the usual number: the standard streams, the reactor's, the listener.
+    let in_use = std::fs::read_dir("/proc/self/fd").map_or(16, Iterator::count);
+    let control = if settings.control.is_some() { control::MOST_OPERATORS + 1 } else { 0 };
+    let files = 4;
+    Descriptors::new(DescriptorSettings { limit, in_use, trunks: settings.trunk.descriptors, files, control })
 }
 
-/// A seed for a gateway whose settings name none.
-fn fresh_seed() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
-    hasher.write_u32(std::process::id());
-    hasher.finish()
+/// Bytes that nobody can guess.
+fn secret() -> Result<[u8; 32], RunError> {
+    let mut key = [0; 32];
+    getrandom::fill(&mut key).map_err(|error| RunError::Random(error.to_string()))?;
+    Ok(key)
 }
--- a/crates/fawnrouterd/src/trunk.rs
+++ b/crates/fawnrouterd/src/trunk.rs
@@ -6,17 +6,23 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
+use fawnrouter_admission::For;
 use fawnrouter_engine::Input;
 use fawnrouter_engine::fawnrouter::ServerId;
 use fawnrouter_sip::{Chunk, StreamDecoder};
 use futures_lite::future;
 
-use crate::client::sip_limits;
 use crate::core::Core;
 use crate::outbox::Outbox;
+use crate::share::Share;
+
+/// Begins a connection.
+pub fn open(core: Rc<Core>, server: ServerId, address: SocketAddr, outbox: Rc<Outbox>) {
+    core.spawn(drive(core.clone(), server, address, outbox));
+}
 
 /// Opens the connection and serves it to its end.
-pub async fn drive(core: Rc<Core>, server: ServerId, address: SocketAddr, outbox: Rc<Outbox>) {
+async fn drive(core: Rc<Core>, server: ServerId, address: SocketAddr, outbox: Rc<Outbox>) {
     let limit = Duration::from_millis(core.settings.trunk.connect_ms);
     let connecting = async { Async::<TcpStream>::connect(address).await.ok() };
     let connected = future::or(connecting, async {
@@ -24,7 +30,7 @@
         None
     });
     if let Some(stream) = connected.await
-        && core.is_current(server, &outbox)
+        && core.peers.borrow().is_current(server, &outbox)
     {
         let _ = stream.get_ref().set_nodelay(true);
         core.input(Input::TrunkUp { server });
@@ -34,25 +40,29 @@
         let reading = read(&core, server, &stream, &outbox);
         future::or(future::or(reading, writing), outbox.killed()).await;
     }
-    if core.is_current(server, &outbox) {
-        core.remove_trunk(server);
+    if core.peers.borrow().is_current(server, &outbox) {
+        core.peers.borrow_mut().remove_trunk(server);
         core.input(Input::TrunkDown { server });
     }
 }
 
 async fn read(core: &Rc<Core>, server: ServerId, stream: &Async<TcpStream>, outbox: &Rc<Outbox>) {
-    let mut decoder = StreamDecoder::new(sip_limits(core));
+    let held = Share::of(&core.ledger, For::Trunk);
+    let mut decoder = StreamDecoder::new(core.sip_limits());
     loop {
         let n = stream.read_with(|mut s| s.read(&mut core.scratch.borrow_mut())).await;
         let Some(n) = n.ok().filter(|n| *n > 0) else { return };
         decoder.push(&core.scratch.borrow()[..n]);
         loop {
             match decoder.next_chunk() {
-                Ok(None) => break,
+                Ok(None) if held.set(decoder.held()) => break,
+                Ok(None) => {
+                    return tracing::warn!(switch = server.0, "connection closed: no memory for its message");
+                }
                 Ok(Some(Chunk::Ping)) => outbox.push(|out| out.extend_from_slice(b"\r\n")),
                 Ok(Some(Chunk::Message(message))) => {
                     // The list may have dropped this connection while its bytes were on the way.
-                    if core.is_current(server, outbox) {
+                    if core.peers.borrow().is_current(server, outbox) {
                         core.input(Input::TrunkMessage { server, message });
                     }
                 }
