Lab: floods of strangers from a process of their own, known callers, audit of challenged calls

Need: the service of known clients under a flood was not measured, and nobody had caused the hard cases on sockets.

The auditor takes a try that was asked who it is (401) as one that may come again, and a refused upgrade as no WebSocket; both planted. Strangers may be held to a rate in all and to a share of what is held.

--- a/crates/fawnrouter-admission/src/fair.rs
+++ b/crates/fawnrouter-admission/src/fair.rs
@@ -87,8 +87,15 @@
 
     /// The next set-up whose turn it is.
     pub fn take(&mut self) -> Option<(C, T)> {
+        self.take_of(|_| true)
+    }
+
+    /// The next set-up whose turn it is, of those clients that may go now. The others keep their places.
+    pub fn take_of(&mut self, may_go: impl Fn(&C) -> bool) -> Option<(C, T)> {
         loop {
-            let client = self.turns.front()?.clone();
+            let at = self.turns.iter().position(&may_go)?;
+            let client = self.turns.remove(at)?;
+            self.turns.push_front(client.clone());
             let Some(queue) = self.queues.get_mut(&client) else {
                 self.turns.pop_front();
                 continue;
--- a/crates/fawnrouter-admission/src/limiter.rs
+++ b/crates/fawnrouter-admission/src/limiter.rs
@@ -42,15 +42,21 @@
 }
 
 impl Gcra {
+    /// What an arrival would be told, without counting it.
+    ///
+    /// # Errors
+    /// As [`Gcra::arrive`].
+    pub fn would(&self, now: Duration, rate: &Rate) -> Result<(), Duration> {
+        let tolerance = rate.tolerance();
+        if self.time > now + tolerance { Err(self.time - now - tolerance) } else { Ok(()) }
+    }
+
     /// Judges an arrival; a refused one costs nothing.
     ///
     /// # Errors
     /// How long to stay away.
     pub fn arrive(&mut self, now: Duration, rate: &Rate) -> Result<(), Duration> {
-        let tolerance = rate.tolerance();
-        if self.time > now + tolerance {
-            return Err(self.time - now - tolerance);
-        }
+        self.would(now, rate)?;
         self.time = self.time.max(now).saturating_add(rate.every);
         Ok(())
     }
--- a/crates/fawnrouter-audit/src/judge.rs
+++ b/crates/fawnrouter-audit/src/judge.rs
@@ -261,6 +261,8 @@
         }
         let due = at + Duration::from_secs(sip.expires_s.unwrap_or(3600)) + self.figures.slack;
         self.verdict.calls += 1;
+        // A try that was asked who it is (401) comes again under its session, as a transaction of its own.
+        self.answered.remove(&sip.session);
         self.calls.insert(key, Call { session: sip.session, due, answered: None, caller_gone: false });
     }
 
--- a/crates/fawnrouter-audit/src/wire.rs
+++ b/crates/fawnrouter-audit/src/wire.rs
@@ -95,17 +95,27 @@
 pub struct WsReader {
     held: Vec<u8>,
     shaken: bool,
+    /// The upgrade was refused: what follows is no WebSocket.
+    refused: bool,
     message: Vec<u8>,
 }
 
 impl WsReader {
     pub fn take(&mut self, bytes: &[u8]) -> Result<Vec<Sip>, String> {
+        if self.refused {
+            return Ok(Vec::new());
+        }
         self.held.extend_from_slice(bytes);
         let mut all = Vec::new();
         if !self.shaken {
             let Some(end) = self.held.windows(4).position(|w| w == b"\r\n\r\n") else { return Ok(all) };
+            let status = self.held.strip_prefix(b"HTTP/1.1 ");
+            self.refused = status.is_some_and(|s| !s.starts_with(b"101"));
             self.held.drain(..end + 4);
             self.shaken = true;
+            if self.refused {
+                return Ok(all);
+            }
         }
         loop {
             let h = &self.held;
--- a/crates/fawnrouter-audit/tests/planted.rs
+++ b/crates/fawnrouter-audit/tests/planted.rs
@@ -222,6 +222,36 @@
     }
 }
 
+#[test]
+fn a_call_that_was_asked_who_it_is_may_come_again_but_nothing_is_sent_for_it_before() {
+    for (again, expected) in [(true, vec![]), (false, vec![(Rule::OneAnswer, 1)])] {
+        let mut stand = Stand::new();
+        stand.invite(0, 1).answer(1, 1, 401);
+        if again {
+            // The same session, another transaction.
+            let text = "INVITE sip:x@g SIP/2.0\r\nVia: SIP/2.0/WS c;branch=b1a\r\nTo: <sip:x@g>\r\nCall-ID: c1\r\n\
+                        CSeq: 2 INVITE\r\nExpires: 3\r\nSession-ID: s1;remote=0\r\n\r\n";
+            stand.bytes(5, 1, Way::In, frame(text, true));
+        }
+        stand.send(200, 70, 1, 0).reply(240, 70, 1, 0, 200);
+        if again {
+            let text = "SIP/2.0 200 OK\r\nVia: SIP/2.0/WS c;branch=b1a\r\nCSeq: 2 INVITE\r\n\r\n";
+            stand.bytes(241, 1, Way::Out, frame(text, false));
+        }
+        assert_eq!(stand.broken(), expected, "{again}");
+    }
+}
+
+#[test]
+fn the_body_of_a_refused_upgrade_is_no_breach() {
+    let mut stand = Stand::new();
+    stand.fact(0, Seen::Opened { conn: 5, side: Side::Caller { gateway: 0 } });
+    let refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 6\r\n\r\n\u{1}\u{7f}full";
+    stand.bytes(1, 5, Way::Out, refusal.as_bytes().to_vec());
+    stand.invite(10, 1).answer(20, 1, 503);
+    assert_eq!(stand.broken(), []);
+}
+
 #[test]
 fn a_caller_that_left_is_owed_nothing() {
     let mut stand = Stand::new();
--- a/crates/fawnrouter-config/src/settings/admission.rs
+++ b/crates/fawnrouter-config/src/settings/admission.rs
@@ -188,6 +188,12 @@
     /// Set-ups of all strangers in one turn, against one known client's.
     #[schemars(range(min = 1, max = 1000))]
     pub weight: u32,
+    /// Set-ups a second of all strangers; left out: as many as there is room for.
+    #[schemars(range(min = 0.001, max = 1e6))]
+    pub all_per_s: Option<f64>,
+    /// Of what the decisions on routes may hold, the share that may be strangers'.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub held_share: f64,
     /// Set-ups a second of one address.
     #[schemars(range(min = 0.001, max = 1e6))]
     pub rate_per_s: f64,
@@ -204,7 +210,8 @@
 
 impl Default for StrangerPlan {
     fn default() -> Self {
-        Self { weight: 1, rate_per_s: 100.0, burst: 200, pending: 500, calls: 5000 }
+        let (rate_per_s, burst, pending, calls) = (100.0, 200, 500, 5000);
+        Self { weight: 1, all_per_s: None, held_share: 0.25, rate_per_s, burst, pending, calls }
     }
 }
 
@@ -324,6 +331,10 @@
                 calls: strangers.calls,
             },
             strangers_weight: strangers.weight,
+            // A second's worth may come at once.
+            strangers_rate: strangers.all_per_s.map(|rate| Rate::per_second(rate, rate as u32)),
+            // Where nobody is known, strangers have all there is.
+            strangers_share: if self.clients.is_some() { strangers.held_share } else { 1.0 },
             held_least: plan.held_least,
             held_span: ms(plan.held_ms),
             waiting: plan.waiting,
--- a/crates/fawnrouter-engine/tests/gate.rs
+++ b/crates/fawnrouter-engine/tests/gate.rs
@@ -34,6 +34,8 @@
         known: limits(100),
         stranger: limits(100),
         strangers_weight: 1,
+        strangers_rate: None,
+        strangers_share: 1.0,
         held_least: held,
         held_span: ms(0),
         waiting: 100,
--- /dev/null
+++ b/crates/fawnrouter-lab/src/flood.rs
@@ -0,0 +1,402 @@
+//! Floods of strangers, from a process of their own: connections from many loopback addresses that sit idle, draw
+//! their handshake out, do not read, or call. Bounded in count and time, and only ever towards a loopback address.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::io::{self, ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use fawnrouter_sip::{Dialog, Draft, Limits, Message, Method, Name};
+use fawnrouter_ws::{ClientHandshake, Decoder, Event, HandshakeError, HttpLimits, Opcode, Role, encode};
+use futures_lite::{AsyncWriteExt, future};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use socket2::{Domain, Socket, Type};
+
+use crate::script::Trouble;
+
+/// What strangers do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, clap::ValueEnum)]
+#[serde(rename_all = "lowercase")]
+pub enum Way {
+    /// They connect, upgrade and do nothing.
+    Idle,
+    /// They send their request one byte a second.
+    Slow,
+    /// They upgrade, ask and never read.
+    Deaf,
+    /// They call.
+    Calls,
+}
+
+impl Way {
+    /// Its name in reports.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Slow => "slow",
+            Self::Deaf => "deaf",
+            Self::Calls => "calls",
+        }
+    }
+}
+
+/// A flood.
+#[derive(Clone, Copy, Debug, clap::Args)]
+pub struct FloodOptions {
+    /// The gateway.
+    #[arg(long)]
+    to: SocketAddr,
+    /// What strangers do.
+    #[arg(long)]
+    way: Way,
+    /// From how many addresses.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=60_000))]
+    addresses: u32,
+    /// Connections a second.
+    #[arg(long)]
+    per_s: f64,
+    /// Set-ups a second over all connections.
+    #[arg(long, default_value_t = 0.0)]
+    calls_per_s: f64,
+    /// For how long connections are opened, milliseconds.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=600_000))]
+    for_ms: u64,
+    /// How long each is kept, milliseconds.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(0..=60_000))]
+    hold_ms: u64,
+}
+
+/// What came of a flood, as the strangers saw it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FloodFigures {
+    /// Connections tried.
+    pub tried: u64,
+    /// That got in.
+    pub inside: u64,
+    /// That were refused with an answer.
+    pub refused: u64,
+    /// That were reset without one.
+    pub reset: u64,
+    /// That ended, or were left waiting, without a word.
+    pub dropped: u64,
+    /// That were not tried as the flood itself had too many open.
+    pub skipped: u64,
+    /// That were in and were told to go.
+    pub told_to_go: u64,
+    /// That were in and ended without a word.
+    pub cut: u64,
+    /// Set-ups sent, those that stood, and those refused.
+    pub calls: (u64, u64, u64),
+}
+
+impl fmt::Display for FloodFigures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} tried: {} in, {} refused, {} reset, {} dropped; of those in {} told to go, {} cut",
+            self.tried, self.inside, self.refused, self.reset, self.dropped, self.told_to_go, self.cut
+        )?;
+        let (sent, stood, refused) = self.calls;
+        if sent > 0 {
+            write!(f, "; {sent} set-ups, {stood} stood, {refused} refused")?;
+        }
+        if self.skipped > 0 {
+            write!(f, "; {} not tried", self.skipped)?;
+        }
+        Ok(())
+    }
+}
+
+/// Connections that a flood has open at the most.
+const MOST_OPEN: usize = 8000;
+/// A connection that hears nothing for this long was dropped.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Starts a flood on a gateway.
+pub fn start(gateway: SocketAddr, trouble: &Trouble) -> io::Result<Child> {
+    let Trouble::Flood { for_ms, way, addresses, per_s, hold_ms, calls_per_s, .. } = trouble else {
+        return Err(ErrorKind::InvalidInput.into());
+    };
+    let mut command = Command::new(std::env::current_exe()?);
+    command.arg("flood").args(["--to", &gateway.to_string(), "--way", way.name()]);
+    command.args(["--addresses", &addresses.to_string(), "--per-s", &per_s.to_string()]);
+    command.args(["--for-ms", &for_ms.to_string(), "--hold-ms", &hold_ms.to_string()]);
+    command.args(["--calls-per-s", &calls_per_s.to_string()]);
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()
+}
+
+/// Waits for a flood to end.
+pub fn figures(child: Child) -> io::Result<FloodFigures> {
+    serde_json::from_slice(&child.wait_with_output()?.stdout).map_err(io::Error::other)
+}
+
+/// The flood's process.
+#[must_use]
+pub fn flood_main(options: FloodOptions) -> ExitCode {
+    if !options.to.ip().is_loopback() {
+        eprintln!("{} is no loopback address; floods go nowhere else", options.to);
+        return ExitCode::from(2);
+    }
+    let executor = Rc::new(LocalExecutor::new());
+    let figures = Rc::new(RefCell::new(FloodFigures::default()));
+    async_io::block_on(executor.run(run(options, executor.clone(), figures.clone())));
+    match serde_json::to_string(&*figures.borrow()) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
+async fn run(options: FloodOptions, executor: Rc<LocalExecutor<'_>>, figures: Rc<RefCell<FloodFigures>>) {
+    let start = Instant::now();
+    let end = start + Duration::from_millis(options.for_ms);
+    let mut tasks = Vec::new();
+    for n in 0u32.. {
+        let at = start + Duration::from_secs_f64(f64::from(n) / options.per_s.max(0.1));
+        if at >= end {
+            break;
+        }
+        Timer::at(at).await;
+        if n % 256 == 0 {
+            tasks.retain(|task: &async_executor::Task<()>| !task.is_finished());
+        }
+        if tasks.len() >= MOST_OPEN {
+            figures.borrow_mut().skipped += 1;
+            continue;
+        }
+        figures.borrow_mut().tried += 1;
+        let figures = figures.clone();
+        tasks.push(executor.spawn(async move {
+            let mut one = Stranger { options, n, figures, decoder: Decoder::new(Role::Client, 1 << 20) };
+            one.run().await;
+        }));
+    }
+    for task in tasks {
+        task.await;
+    }
+}
+
+/// What came of opening a connection.
+enum Opening {
+    In(Async<TcpStream>, Vec<u8>),
+    Refused,
+    Reset,
+    Dropped,
+}
+
+struct Stranger {
+    options: FloodOptions,
+    n: u32,
+    figures: Rc<RefCell<FloodFigures>>,
+    decoder: Decoder,
+}
+
+impl Stranger {
+    async fn run(&mut self) {
+        let patience = async {
+            Timer::after(PATIENCE).await;
+            Ok(Opening::Dropped)
+        };
+        let opening = future::or(self.open(), patience).await;
+        let (stream, rest) = match opening {
+            Ok(Opening::In(stream, rest)) => (stream, rest),
+            Ok(Opening::Refused) => return self.count(|f| f.refused += 1),
+            Ok(Opening::Dropped) => return self.count(|f| f.dropped += 1),
+            Ok(Opening::Reset) | Err(_) => return self.count(|f| f.reset += 1),
+        };
+        self.count(|f| f.inside += 1);
+        let kept = Duration::from_millis(self.options.hold_ms);
+        let held = async move {
+            Timer::after(kept).await;
+            Ok(None)
+        };
+        let figures = self.figures.clone();
+        match future::or(self.stay(&stream, rest), held).await {
+            Ok(None) => {}
+            Ok(Some(())) => figures.borrow_mut().told_to_go += 1,
+            Err(_) => figures.borrow_mut().cut += 1,
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut FloodFigures)) {
+        change(&mut self.figures.borrow_mut());
+    }
+
+    async fn open(&self) -> io::Result<Opening> {
+        let n = self.n % self.options.addresses;
+        let address = [127, 16 + (n / 62_500) as u8, (n / 250 % 250) as u8, (1 + n % 250) as u8];
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&SocketAddr::from((address, 0)).into())?;
+        match socket.connect(&self.options.to.into()) {
+            Err(error) if error.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {
+                return Err(error);
+            }
+            _ => {}
+        }
+        let stream = Async::new(TcpStream::from(socket))?;
+        stream.writable().await?;
+        if let Some(error) = stream.get_ref().take_error()? {
+            return Err(error);
+        }
+        let shake = ClientHandshake::new([9; 16], "sip");
+        let request = shake.request("gateway.invalid", "/", None);
+        let writing = async {
+            let mut to = &stream;
+            if self.options.way == Way::Slow {
+                for byte in &request {
+                    if to.write_all(&[*byte]).await.is_err() {
+                        break;
+                    }
+                    Timer::after(Duration::from_secs(1)).await;
+                }
+            } else {
+                let _ = to.write_all(&request).await;
+            }
+            // What comes of it is for the reader to say.
+            future::pending::<io::Result<Result<Vec<u8>, Opening>>>().await
+        };
+        let told = future::or(hear(&stream, &shake), writing).await?;
+        Ok(match told {
+            Ok(rest) => Opening::In(stream, rest),
+            Err(other) => other,
+        })
+    }
+
+    /// Until the gateway ends it: `Some` if it said goodbye, an error if it did not.
+    async fn stay(&mut self, stream: &Async<TcpStream>, rest: Vec<u8>) -> io::Result<Option<()>> {
+        if self.options.way == Way::Deaf {
+            let mut one = Vec::new();
+            encode(Opcode::Text, &ask(self.n), Some([1, 2, 3, 4]), &mut one);
+            loop {
+                // It never reads, so that a goodbye is not seen: the end of the connection shows in the writing.
+                let mut to = stream;
+                if to.write_all(&one).await.is_err() {
+                    return Ok(Some(()));
+                }
+            }
+        }
+        // Each connection makes its part of the calls while it is kept.
+        let kept_s = self.options.hold_ms as f64 / 1e3;
+        let share = self.options.calls_per_s / (self.options.per_s * kept_s).max(1.0);
+        let (out, n, figures) = (RefCell::new(Vec::new()), self.n, self.figures.clone());
+        let calling = async {
+            if share <= 0.0 {
+                return future::pending::<io::Result<Option<()>>>().await;
+            }
+            for call in 0u32.. {
+                Timer::after(Duration::from_secs_f64(1.0 / share)).await;
+                figures.borrow_mut().calls.0 += 1;
+                let mut bytes = Vec::new();
+                encode(Opcode::Text, &invite(n, call), Some([1, 2, 3, 4]), &mut bytes);
+                let mut to = stream;
+                to.write_all(&bytes).await?;
+            }
+            Ok(None)
+        };
+        let decoder = &mut self.decoder;
+        let reading = async {
+            let mut buffer = vec![0; 16 * 1024];
+            let mut got = rest.len();
+            buffer[..got].copy_from_slice(&rest);
+            loop {
+                let mut input = &buffer[..got];
+                while let Some(event) = decoder.feed(&mut input).map_err(io::Error::other)? {
+                    match event {
+                        Event::Close(_) => return Ok(Some(())),
+                        Event::Ping(payload) => {
+                            encode(Opcode::Pong, payload, Some([1, 2, 3, 4]), &mut out.borrow_mut());
+                        }
+                        Event::Text(text) => {
+                            if let Ok(message) = Message::parse(text.as_bytes(), &Limits::default()) {
+                                follow(&message, &mut out.borrow_mut(), &mut figures.borrow_mut());
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+                let waiting = std::mem::take(&mut *out.borrow_mut());
+                let mut to = stream;
+                to.write_all(&waiting).await?;
+                got = stream.read_with(|mut s| s.read(&mut buffer)).await?;
+                if got == 0 {
+                    return Err(ErrorKind::UnexpectedEof.into());
+                }
+            }
+        };
+        future::or(reading, calling).await
+    }
+}
+
+/// Reads the answer to a request for an upgrade: what came behind it, or what else became of it.
+async fn hear(stream: &Async<TcpStream>, shake: &ClientHandshake) -> io::Result<Result<Vec<u8>, Opening>> {
+    let (mut bytes, mut buffer) = (Vec::new(), [0; 2048]);
+    loop {
+        match stream.read_with(|mut s| s.read(&mut buffer)).await {
+            Ok(0) if bytes.is_empty() => return Ok(Err(Opening::Dropped)),
+            // The answer may have come before the end.
+            Ok(0) => return Ok(Err(Opening::Refused)),
+            Ok(n) => bytes.extend_from_slice(&buffer[..n]),
+            Err(_) if bytes.is_empty() => return Ok(Err(Opening::Reset)),
+            Err(_) => return Ok(Err(Opening::Refused)),
+        }
+        match shake.check(&bytes, &HttpLimits::default()) {
+            Ok(Some(len)) => return Ok(Ok(bytes.split_off(len))),
+            Ok(None) => {}
+            Err(HandshakeError::Refused(_)) => return Ok(Err(Opening::Refused)),
+            Err(error) => return Err(io::Error::other(error)),
+        }
+    }
+}
+
+fn request(method: Method, uri: &str, n: u32, call: u32) -> Draft {
+    let mut draft = Draft::request(method, uri);
+    draft
+        .field(Name::Via, &format!("SIP/2.0/WS stranger{n}.invalid;branch=z9hG4bKf{n}.{call}"))
+        .field(Name::MaxForwards, "70")
+        .field(Name::From, &format!("<sip:stranger{n}@flood.invalid>;tag=f{n}"))
+        .field(Name::To, &format!("<{uri}>"))
+        .field(Name::CallId, &format!("f{n}.{call}@flood.invalid"))
+        .field(Name::CSeq, &format!("1 {}", if method == Method::Invite { "INVITE" } else { "OPTIONS" }));
+    draft
+}
+
+fn ask(n: u32) -> Vec<u8> {
+    request(Method::Options, "sip:gateway.invalid", n, 0).finish(b"")
+}
+
+fn invite(n: u32, call: u32) -> Vec<u8> {
+    let uri = format!("sip:+9147{:07}@gateway.invalid", (n * 31 + call) % 10_000_000);
+    request(Method::Invite, &uri, n, call)
+        .field(Name::Contact, "<sip:stranger@flood.invalid;transport=ws>")
+        .field(Name::Expires, "3")
+        .finish(b"")
+}
+
+/// A stranger acknowledges what it gets, and hangs up at once.
+fn follow(message: &Message, out: &mut Vec<u8>, figures: &mut FloodFigures) {
+    let is_invite = message.cseq().is_ok_and(|c| c.method == "INVITE");
+    let Some(status) = message.status().filter(|s| *s >= 200 && is_invite) else { return };
+    let mut send = |bytes: Vec<u8>| encode(Opcode::Text, &bytes, Some([1, 2, 3, 4]), out);
+    if status >= 300 {
+        figures.calls.2 += 1;
+        let mut ack = Draft::request(Method::Ack, "sip:gateway.invalid");
+        ack.copy(message, Name::Via).field(Name::MaxForwards, "70").copy(message, Name::From);
+        ack.copy(message, Name::To).copy(message, Name::CallId).field(Name::CSeq, "1 ACK");
+        return send(ack.finish(b""));
+    }
+    figures.calls.1 += 1;
+    if let Ok(mut dialog) = Dialog::caller(message, "sip:gateway.invalid", 1) {
+        send(dialog.request(Method::Ack, "SIP/2.0/WS stranger.invalid;branch=z9hG4bKa").finish(b""));
+        send(dialog.request(Method::Bye, "SIP/2.0/WS stranger.invalid;branch=z9hG4bKb").finish(b""));
+    }
+}
--- a/crates/fawnrouter-lab/src/report.rs
+++ b/crates/fawnrouter-lab/src/report.rs
@@ -7,6 +7,8 @@
 use fawnrouter_audit::Verdict;
 use hdrhistogram::Histogram;
 
+use crate::flood::FloodFigures;
+
 /// How a caller's call ended, its further tries included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -77,6 +79,10 @@
     pub unanswered: u64,
     /// By trouble.
     pub windows: Vec<WindowReport>,
+    /// Connections that callers opened, and how often one was refused.
+    pub connects: (u64, u64),
+    /// What came of each flood of strangers.
+    pub floods: Vec<(&'static str, FloodFigures)>,
     /// Stand-ins that were pushed over while cold.
     pub fallen: Vec<u32>,
     /// The auditor's verdict.
@@ -100,6 +106,8 @@
             set_up,
             unanswered: 0,
             windows: Vec::new(),
+            connects: (0, 0),
+            floods: Vec::new(),
             fallen: Vec::new(),
             audit: Verdict::default(),
             seconds: BTreeMap::new(),
@@ -213,6 +221,11 @@
                 w.name, w.service, w.span_s.0, w.span_s.1
             )?;
         }
+        let (opened, refused) = self.connects;
+        writeln!(f, "connections        {opened} opened by callers, {refused} times refused")?;
+        for (way, figures) in &self.floods {
+            writeln!(f, "flood by {way:<9} {figures}")?;
+        }
         for id in &self.fallen {
             writeln!(f, "stand-in {id} was pushed over while cold")?;
         }
--- a/crates/fawnrouter-lab/src/script.rs
+++ b/crates/fawnrouter-lab/src/script.rs
@@ -1,6 +1,8 @@
 //! The script of a day: who calls what, which switches there are, and what goes wrong when.
 
-use fawnrouter_config::{Class, ConfigError, Document, Fault, Rules};
+use fawnrouter_config::{Admission, Class, ConfigError, Document, Fault, Limits, Rules};
+
+use crate::flood::Way;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +41,16 @@
     /// The figures of the rules.
     #[serde(default)]
     pub rules: Rules,
+    /// Known clients that the callers' connections belong to in turn; none if 0.
+    #[serde(default)]
+    #[schemars(range(max = 1000))]
+    pub clients: u32,
+    /// The gateways' section `admission`.
+    #[serde(default)]
+    pub admission: Option<Admission>,
+    /// The gateways' section `limits`.
+    #[serde(default)]
+    pub limits: Limits,
     /// What goes wrong.
     #[serde(default)]
     #[schemars(length(max = 1000))]
@@ -132,6 +144,22 @@
     LateAnswers { at_ms: u64, for_ms: u64, switches: Vec<u32>, late_ms: u64 },
     /// Switches take no notice of CANCEL and answer 200 all the same.
     CrossCancel { at_ms: u64, for_ms: u64, switches: Vec<u32> },
+    /// Strangers open so many connections a second to each gateway, from so many addresses, and keep each for a
+    /// time; with `calls_per_s`, they call over them.
+    Flood {
+        at_ms: u64,
+        for_ms: u64,
+        way: Way,
+        #[schemars(range(min = 1, max = 60_000))]
+        addresses: u32,
+        #[schemars(range(min = 0.1, max = 20_000.0))]
+        per_s: f64,
+        #[schemars(range(max = 60_000))]
+        hold_ms: u64,
+        #[serde(default)]
+        #[schemars(range(min = 0.0, max = 20_000.0))]
+        calls_per_s: f64,
+    },
 }
 
 impl Trouble {
@@ -148,6 +176,7 @@
             | Self::Replace { at_ms, for_ms, .. }
             | Self::LateList { at_ms, for_ms, .. }
             | Self::LateAnswers { at_ms, for_ms, .. }
+            | Self::Flood { at_ms, for_ms, .. }
             | Self::EmptyList { at_ms, for_ms }
             | Self::CrossCancel { at_ms, for_ms, .. } => (*at_ms, at_ms.saturating_add(*for_ms)),
         }
@@ -168,6 +197,7 @@
             Self::EmptyList { .. } => "empty_list",
             Self::LateAnswers { .. } => "late_answers",
             Self::CrossCancel { .. } => "cross_cancel",
+            Self::Flood { way, .. } => way.name(),
         }
     }
 
--- a/crates/fawnrouterd/tests/cli.rs
+++ b/crates/fawnrouterd/tests/cli.rs
@@ -34,3 +34,27 @@
     let schema: serde_json::Value = serde_json::from_slice(&out.stdout).expect("JSON");
     assert!(schema["properties"]["listen"].is_object());
 }
+
+#[test]
+fn a_secret_is_hashed_into_a_line_that_the_file_of_clients_takes() {
+    use std::io::Write;
+    let mut child = Command::new(env!("CARGO_BIN_EXE_fawnrouter"))
+        .args(["secret", "Mufasa", "--realm", "http-auth@example.org", "--md5"])
+        .stdin(std::process::Stdio::piped())
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("the program runs");
+    child.stdin.take().expect("piped").write_all(b"Circle of Life\n").expect("a line");
+    let out = child.wait_with_output().expect("it ends");
+    let text = format!("clients:\n{}", String::from_utf8_lossy(&out.stdout));
+    let clients = fawnrouterd::config::read_clients("c.yaml", &text).expect("a sound line");
+    assert_eq!(clients[0].md5.as_deref(), Some("3d78807defe7de2157e2b0b6573a855f"), "RFC 7616 §3.9.1");
+    assert!(!text.contains("Circle"));
+}
+
+#[test]
+fn admission_needs_a_socket_in_the_settings_and_a_gateway_behind_it() {
+    let out = fawnrouter(&["admission", "--config", &example("gateway.yaml")]);
+    assert!(String::from_utf8_lossy(&out.stderr).contains("control: is missing; add"));
+    assert_eq!(out.status.code(), Some(2));
+}
