--- a/crates/fawnrouter-admission/src/admission.rs
+++ b/crates/fawnrouter-admission/src/admission.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::descriptors::Descriptors;
-use crate::limiter::{Limiter, Rate};
+use crate::limiter::{Gcra, Limiter, Rate};
 use crate::reserve::{Reserve, ReserveSettings};
 use crate::spread::Spread;
 
@@ -51,6 +51,8 @@
     pub idle: Duration,
     /// A connection without a call that takes none of the bytes that wait for it for this long is closed; zero: never.
     pub slow: Duration,
+    /// Messages of a stranger's connection, and of a known client's; beyond it a connection is not read for a while.
+    pub pace: (Rate, Rate),
     /// The part kept for known clients.
     pub reserve: ReserveSettings,
     /// Connections of one known client, where it has no limit of its own.
@@ -213,6 +215,8 @@
     calls: u32,
     /// Since when it has been idle.
     idle_since: Duration,
+    /// What it owes for its messages.
+    pace: Gcra,
     /// Bytes that it had taken in all when it last took some, and when that was; `None` if none wait.
     stuck: Option<(u64, Duration)>,
 }
@@ -256,6 +260,10 @@
 /// longer, while such a flood lasts.
 const SLOW_HANDSHAKE: Duration = Duration::from_millis(200);
 
+/// Bytes of one turn: a few messages of a stranger, as many of a known client as the driver reads at once.
+const STRANGER_TURN: usize = 4 * 1024;
+const KNOWN_TURN: usize = 64 * 1024;
+
 /// The decisions of one gateway.
 #[derive(Debug)]
 pub struct Admission {
@@ -477,7 +485,8 @@
         }
         self.unproven.insert((self.now, conn));
         let (stage, client, calls, idle_since, stuck) = (Stage::Handshake, None, 0, self.now, None);
-        self.conns.insert(conn, Entry { address, counted, stage, client, calls, idle_since, stuck });
+        let pace = Gcra::default();
+        self.conns.insert(conn, Entry { address, counted, stage, client, calls, idle_since, pace, stuck });
     }
 
     fn count(&mut self, address: IpAddr) {
@@ -644,6 +653,23 @@
         }
     }
 
+    /// A connection has sent so many messages: how long it is not to be read. What it sends meanwhile waits in the
+    /// sockets, and so with its sender.
+    pub fn pace(&mut self, now: Duration, conn: Conn, messages: u32) -> Duration {
+        self.now = self.now.max(now);
+        let Some(entry) = self.conns.get_mut(&conn) else { return Duration::ZERO };
+        let rate = if entry.stage == Stage::Known { &self.settings.pace.1 } else { &self.settings.pace.0 };
+        entry.pace.charge(self.now, rate, messages)
+    }
+
+    /// Bytes that a connection may have worked on in one turn. One that sends more than it is worth has short turns,
+    /// so that a hundred of them do not make a long round for those who wait.
+    #[must_use]
+    pub fn turn(&self, conn: Conn) -> usize {
+        let known = self.conns.get(&conn).is_some_and(|e| e.stage == Stage::Known);
+        if known { KNOWN_TURN } else { STRANGER_TURN }
+    }
+
     /// So many bytes wait for a connection, which has taken so many in all.
     pub fn reads(&mut self, now: Duration, conn: Conn, waiting: usize, taken: u64) {
         self.now = self.now.max(now);
--- a/crates/fawnrouter-admission/src/limiter.rs
+++ b/crates/fawnrouter-admission/src/limiter.rs
@@ -51,6 +51,12 @@
         if self.time > now + tolerance { Err(self.time - now - tolerance) } else { Ok(()) }
     }
 
+    /// Charges for what has come already: how long nothing more is to be taken.
+    pub fn charge(&mut self, now: Duration, rate: &Rate, count: u32) -> Duration {
+        self.time = self.time.max(now).saturating_add(rate.every.saturating_mul(count));
+        self.time.saturating_sub(now.saturating_add(rate.tolerance()))
+    }
+
     /// Judges an arrival; a refused one costs nothing.
     ///
     /// # Errors
--- a/crates/fawnrouter-admission/tests/floods.rs
+++ b/crates/fawnrouter-admission/tests/floods.rs
@@ -27,6 +27,7 @@
         prove: Duration::ZERO,
         idle: Duration::ZERO,
         slow: Duration::ZERO,
+        pace: (Rate::per_second(100.0, 50), Rate::per_second(1000.0, 500)),
         reserve: ReserveSettings { least: 20, most: 60, headroom: 0.25, half_life: ms(60_000) },
         per_client: 8,
         retry_after: ms(1000),
@@ -326,6 +327,24 @@
     assert_eq!(door.admission.snapshot(9).open, 1);
 }
 
+#[test]
+fn one_that_sends_without_end_is_read_at_its_pace_and_a_known_client_at_a_better_one() {
+    let mut door = Door::new(settings());
+    let stranger = door.stranger(ip(1)).expect("room");
+    let known = door.known(ip(2), "branch").expect("room");
+    for (conn, least, most) in [(stranger, 1000, 1100), (known, 10_000, 10_700)] {
+        let (mut read, end) = (0, door.now + ms(10_000));
+        while door.now < end {
+            // Twenty messages a turn.
+            read += 20;
+            door.now += door.admission.pace(door.now, conn, 20).max(Duration::from_micros(1));
+        }
+        assert!((least..=most).contains(&read), "{read} in ten seconds");
+    }
+    assert!(door.admission.turn(stranger) < door.admission.turn(known));
+    assert_eq!(door.admission.pace(door.now, Conn(99), 1000), Duration::ZERO);
+}
+
 #[test]
 fn a_clock_that_stands_still_or_steps_back_lets_nobody_off_and_closes_nobody() {
     let mut door = Door::new(AdmissionSettings { idle: ms(5000), slow: ms(1000), ..settings() });
--- a/crates/fawnrouter-config/src/settings/admission.rs
+++ b/crates/fawnrouter-config/src/settings/admission.rs
@@ -53,6 +53,12 @@
     /// A connection without a call that takes none of the bytes that wait for it for this long is closed; 0: never.
     #[schemars(range(max = 3_600_000))]
     pub slow_reader_ms: u64,
+    /// Messages a second of a stranger's connection; beyond it the connection is read more slowly.
+    #[schemars(range(min = 0.1, max = 1e6))]
+    pub messages_per_s: f64,
+    /// Messages a second of a known client's connection.
+    #[schemars(range(min = 0.1, max = 1e6))]
+    pub known_messages_per_s: f64,
     /// Places that only known clients may use; without a section `clients` there are none.
     pub reserve: Reserve,
     /// Whose set-up is next.
@@ -75,6 +81,8 @@
             forwarders: Vec::new(),
             idle_ms: 0,
             slow_reader_ms: 10_000,
+            messages_per_s: 200.0,
+            known_messages_per_s: 5000.0,
             reserve: Reserve::default(),
             set_ups: SetUpsPlan::default(),
         }
@@ -310,6 +318,11 @@
             prove: ms(self.clients.as_ref().map_or(0, |c| c.prove_ms)),
             idle: ms(a.idle_ms),
             slow: ms(a.slow_reader_ms),
+            // A second's worth may come at once.
+            pace: (
+                Rate::per_second(a.messages_per_s, a.messages_per_s as u32),
+                Rate::per_second(a.known_messages_per_s, a.known_messages_per_s as u32),
+            ),
             reserve: a.reserve_settings(&self.limits, self.clients.as_ref()),
             per_client: a.set_ups.known.connections,
             retry_after: ms(self.limits.retry_after_ms),
--- a/crates/fawnrouter-engine/tests/gate.rs
+++ b/crates/fawnrouter-engine/tests/gate.rs
@@ -319,3 +319,29 @@
     rig.pass(ms(1));
     assert_eq!(rig.finals(&second), [504], "one second after it came, not one after its turn");
 }
+
+#[test]
+fn a_gate_that_is_off_and_one_with_room_for_all_give_the_same_outputs_to_the_byte() {
+    let outputs = |settings: EngineSettings| {
+        let mut rig = Rig::new(settings);
+        rig.list(ListKind::Whole, (70..73).map(switch).collect());
+        for n in 0..200 {
+            rig.call(3);
+            if let Some((server, out)) = rig.to_switches(Method::Invite).pop() {
+                rig.answer(server, &out, [503, 200, 486, 200, 408][n % 5], &[]);
+            }
+            if n % 40 == 20 {
+                rig.trunk_down(70 + (n as u32 / 40) % 3);
+            }
+            rig.pass(ms(17));
+        }
+        rig.pass(ms(5000));
+        rig.input(Input::ClientDown { client: C });
+        rig.pass(ms(40_000));
+        format!("{:?}", rig.sent)
+    };
+    let wide = SetUpSettings { held_least: 100_000, stranger: limits(10_000), ..queued(1) };
+    let off = outputs(settings());
+    assert!(off.len() > 100_000, "something happened");
+    assert!(off == outputs(EngineSettings { set_ups: Some(wide), ..settings() }));
+}
--- a/crates/fawnrouter-lab/tests/admission.rs
+++ b/crates/fawnrouter-lab/tests/admission.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::*;
-use fawnrouter_sip::{Draft, Message, Method, Name};
+use fawnrouter_sip::{Draft, Method, Name};
 use fawnrouter_ws::{ClientHandshake, CloseCode, Opcode, encode};
 use fawnrouterd::control::{Command, Reply, Shown, ask};
 use fawnrouterd::engine::digest::{Algorithm, Credentials, answer, ha1};
@@ -43,7 +43,7 @@
 }
 
 #[test]
-fn a_flood_from_two_thousand_addresses_leaves_those_with_calls_alone() {
+fn a_flood_from_five_thousand_addresses_leaves_those_with_calls_alone() {
     let (address, told) = switch(ok_for_all);
     let gateway = Gateway::start(
         &[address],
@@ -54,7 +54,7 @@
     assert_eq!(caller.last_status(), 200);
     let mut idle = Client::connect(&gateway);
     let mut flood = Vec::new();
-    for n in 0..2000u32 {
+    for n in 0..5000u32 {
         let address = [127, 1 + (n % 200) as u8, (n / 200) as u8, 9];
         match Client::from(&gateway, address) {
             Ok(client) => flood.push(client),
@@ -206,6 +206,30 @@
     assert!(seen.clients.iter().any(|h| h.who == "wild" && h.count == 2), "{seen:?}");
 }
 
+#[test]
+fn a_flood_from_one_address_is_capped_while_known_clients_keep_connecting_and_calling() {
+    let (address, _told) = switch(ok_for_all);
+    let more = "admission: { per_address: 20, rate_per_s: 200, burst: 200 }";
+    let gateway = Gateway::start(&[address], &with_clients("call", more));
+    write_clients(&gateway, &[line("branch", "tellers", "")]);
+    drop(known(&gateway, "branch", "tellers"));
+    let mut held = Vec::new();
+    let (mut refused, mut stood) = (0, 0);
+    for n in 0..20u32 {
+        // Fifty of the flood to one of theirs.
+        for _ in 0..50 {
+            match Client::from(&gateway, [127, 0, 0, 66]) {
+                Ok(client) => held.push(client),
+                Err(status) => refused += usize::from(status == 503),
+            }
+        }
+        let mut client = known(&gateway, "branch", "tellers");
+        client.send(&request(Method::Invite, n));
+        stood += usize::from(client.last_status() == 200);
+    }
+    assert_eq!((held.len(), refused, stood), (20, 980, 20));
+}
+
 #[test]
 fn an_operator_sees_who_holds_what_and_blocks_and_frees_an_address() {
     let gateway = Gateway::start(&[], "admission: {}\ncontrol: { socket: control }");
@@ -291,7 +315,7 @@
     let (address, _told) = switch(ok_for_all);
     let gateway = Gateway::start(
         &[address],
-        "admission: { slow_reader_ms: 300 }\ncontrol: { socket: control }\nlimits: { write_backlog_bytes: 100000000 }",
+        "admission: { slow_reader_ms: 300, messages_per_s: 1000000 }\ncontrol: { socket: control }\nlimits: { write_backlog_bytes: 100000000 }",
     );
     let ask_much = |client: &mut Client| {
         let mut one = Vec::new();
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -30,7 +30,22 @@
     stream: &Async<TcpStream>,
     take: impl FnOnce(&[u8]) -> T,
 ) -> io::Result<Option<T>> {
-    let n = stream.read_with(|mut s| s.read(&mut core.scratch.borrow_mut())).await?;
+    read_at_most(core, stream, usize::MAX, take).await
+}
+
+/// As [`read_some`], with so many bytes at the most.
+async fn read_at_most<T>(
+    core: &Core,
+    stream: &Async<TcpStream>,
+    most: usize,
+    take: impl FnOnce(&[u8]) -> T,
+) -> io::Result<Option<T>> {
+    let read = |mut s: &TcpStream| {
+        let scratch = &mut *core.scratch.borrow_mut();
+        let most = most.min(scratch.len());
+        s.read(&mut scratch[..most])
+    };
+    let n = stream.read_with(read).await?;
     Ok((n > 0).then(|| take(&core.scratch.borrow()[..n])))
 }
 
@@ -142,18 +157,25 @@
         let limits = &core.settings.limits;
         let mut decoder = Decoder::new(Role::Server, limits.head_bytes + limits.body_bytes);
         let held = Share::of(&core.ledger, For::Client);
-        let mut session = Session { core, client, outbox, held: &held, bad_in_a_row: 0 };
+        let mut session = Session { core, client, outbox, held: &held, bad_in_a_row: 0, messages: 0 };
         let mut goes_on = session.take_all(&mut decoder, &rest);
         drop(rest);
         while goes_on {
             // One client's stream of messages must not keep the others waiting.
             future::yield_now().await;
-            let read = read_some(core, &stream, |bytes| session.take_all(&mut decoder, bytes));
+            let turn = core.door.borrow().turn(conn);
+            let read = read_at_most(core, &stream, turn, |bytes| session.take_all(&mut decoder, bytes));
             match read.await {
                 Ok(Some(more)) => goes_on = more,
                 _ => return outbox.kill(),
             }
             heard.set(Instant::now());
+            let messages = std::mem::take(&mut session.messages);
+            let pause = core.door.borrow_mut().pace(core.clock.now(), conn, messages);
+            if !pause.is_zero() {
+                Timer::after(pause).await;
+                heard.set(Instant::now());
+            }
         }
     };
     let writing = async {
@@ -251,6 +273,8 @@
     /// Bytes of a message that is not whole yet.
     held: &'a Share,
     bad_in_a_row: usize,
+    /// Messages since they were last counted.
+    messages: u32,
 }
 
 impl Session<'_> {
@@ -263,8 +287,12 @@
                 }
                 return self.end(CloseCode::LATER, "no memory is left for the message");
             }
+            self.messages += 1;
             let (code, reason) = match decoder.feed(&mut input) {
-                Ok(None) => return true,
+                Ok(None) => {
+                    self.messages -= 1;
+                    return true;
+                }
                 Ok(Some(Event::Text(text))) => match self.message(text.as_bytes()) {
                     Some(reason) => (CloseCode::POLICY, reason),
                     None => continue,
--- a/crates/fawnrouterd/src/door.rs
+++ b/crates/fawnrouterd/src/door.rs
@@ -208,6 +208,16 @@
         }
     }
 
+    /// A connection has sent so many messages: how long it is not to be read.
+    pub fn pace(&mut self, now: Time, conn: Conn, messages: u32) -> Duration {
+        self.admission.as_mut().map_or(Duration::ZERO, |a| a.pace(now.0, conn, messages))
+    }
+
+    /// Bytes that a connection may have worked on in one turn.
+    pub fn turn(&self, conn: Conn) -> usize {
+        self.admission.as_ref().map_or(usize::MAX, |a| a.turn(conn))
+    }
+
     /// A connection is gone, at whatever stage.
     pub fn gone(&mut self, now: Time, conn: Conn) {
         if let Some(admission) = &mut self.admission {
--- a/crates/fawnrouterd/src/peers.rs
+++ b/crates/fawnrouterd/src/peers.rs
@@ -107,11 +107,15 @@
         for (_, outbox) in self.clients.values() {
             goodbye(outbox, code, reason);
         }
+        for peer in self.conns.values().filter(|p| p.client.is_none()) {
+            peer.outbox.finish_for(reason);
+        }
     }
 
-    /// Bytes that wait to be written, over all connections.
-    pub fn backlog(&self) -> usize {
-        self.clients.values().map(|(_, o)| o).chain(self.trunks.values()).map(|o| o.backlog()).sum()
+    /// Whether something waits to be written, or a handshake to be told that it comes to nothing.
+    pub fn busy(&self) -> bool {
+        let mut outboxes = self.clients.values().map(|(_, o)| o).chain(self.trunks.values());
+        outboxes.any(|o| o.backlog() > 0) || self.conns.values().any(|p| p.client.is_none())
     }
 }
 
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -162,7 +162,7 @@
         let clean = clean.await;
         core.peers.borrow().close_all(CloseCode::AWAY, "gateway ends");
         let flushed = async {
-            while core.peers.borrow().backlog() > 0 {
+            while core.peers.borrow().busy() {
                 Timer::after(Duration::from_millis(5)).await;
             }
         };
