Zones in settings, engine and daemon: durable account, report as table, CSV and drawing

Need: the voice of zones was not heard by the running gateway, and nobody saw what spilled.

Change: section 'zones' (costs by pair, budgets by window, this gateway's place among those that share them), handed to the engine; the account is kept in a file with a sum, replaced as a whole, twice a second when something was spent and at the end. A file that is damaged means that this window's share counts as spent. 'fawnrouter report spill' prints a table or CSV, or draws calls a minute (plotters).

--- a/crates/fawnrouter-config/src/settings/mod.rs
+++ b/crates/fawnrouter-config/src/settings/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod clients;
+mod zones;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 
 pub use admission::{Admission, ClientPlan, Network, NetworkCap, Reserve, SetUpsPlan, StrangerPlan};
 pub use clients::{ClientFile, ClientLine, Clients, Control, StrangersMay, read_clients};
+pub use zones::{BudgetPlan, PairCost, Window, ZonesPlan};
 
 use crate::document::Fault;
 
@@ -56,6 +58,9 @@
     /// Clients that are known by name; left out, nobody is asked who they are.
     #[serde(default)]
     pub clients: Option<Clients>,
+    /// Traffic across zones; left out, every switch is as near as any other.
+    #[serde(default)]
+    pub zones: Option<ZonesPlan>,
     /// Where operators' commands reach the running gateway; left out, they do not.
     #[serde(default)]
     pub control: Option<Control>,
@@ -532,6 +537,9 @@
         if let Some(admission) = &self.admission {
             admission.faults(&self.limits, self.clients.as_ref(), &mut faults);
         }
+        if let Some(zones) = &self.zones {
+            zones.faults(&mut faults);
+        }
         if let Some(clients) = &self.clients {
             clients.faults(&mut faults);
         }
@@ -574,6 +582,7 @@
             cut_after: ms(self.trunk.cut_after_ms),
             longest_try: ms(self.limits.longest_try_ms),
             auth: None,
+            zones: self.zone_settings(),
             set_ups: self.set_ups(seed),
             words,
         }
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -9,6 +9,7 @@
 };
 use fawnrouter_admission::Stay;
 use fawnrouter_sip::transaction::{ACK_WAIT, CancelStep};
+use fawnrouter_zones::{BudgetError, Shared, Zones};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
@@ -19,6 +20,18 @@
 use crate::status;
 use crate::table::*;
 
+/// Settings that no engine can work with.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[non_exhaustive]
+pub enum EngineError {
+    /// The decisions refuse theirs.
+    #[error(transparent)]
+    Decisions(#[from] SettingsError),
+    /// A budget across zones makes no sense.
+    #[error("zones: {0}")]
+    Budget(#[from] BudgetError),
+}
+
 /// The gateway's state machine.
 #[derive(Debug)]
 pub struct Engine {
@@ -27,6 +40,7 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) intake: Intake,
     pub(crate) gate: Gate,
+    zones: Option<Shared>,
     pub(crate) table: Table,
     pub(crate) now: Time,
     /// Calls without a final answer.
@@ -44,10 +58,16 @@
     ///
     /// # Errors
     /// Where the decisions' settings hold figures that make no sense.
-    pub fn new(settings: EngineSettings) -> Result<Self, SettingsError> {
+    pub fn new(settings: EngineSettings) -> Result<Self, EngineError> {
         let seed = ChaCha8Rng::seed_from_u64(settings.seed).next_u64();
-        let controller = Controller::new(settings.decisions.clone(), seed)?;
-        Ok(Self::with(settings, Box::new(controller)))
+        let mut controller = Controller::new(settings.decisions.clone(), seed)?;
+        let zones = settings.zones.clone().map(Zones::new).transpose()?.map(Shared::new);
+        if let Some(zones) = &zones {
+            controller = controller.with_voice(Box::new(zones.clone()));
+        }
+        let mut engine = Self::with(settings, Box::new(controller));
+        engine.zones = zones;
+        Ok(engine)
     }
 
     /// An engine around something else that decides, as a baseline in a comparison.
@@ -57,6 +77,7 @@
         rng.set_stream(1);
         Self {
             intake: Intake::new(settings.intake),
+            zones: None,
             gate: Gate::new(settings.auth.clone(), settings.set_ups.clone()),
             settings,
             controller,
@@ -91,6 +112,11 @@
             Input::TrunkMessage { server, message } => self.on_trunk_message(server, &message),
             Input::TrunkDown { server } => self.on_trunk_down(server),
             Input::List { kind, switches } => self.on_list(kind, switches),
+            Input::Account(saved) => {
+                if let Some(zones) = &self.zones {
+                    zones.with(|z| z.restore(self.now, saved.as_deref()));
+                }
+            }
             Input::Clients(clients) => self.set_clients(clients),
             Input::Wake => {}
             Input::Drain => self.intake.drain(),
@@ -111,6 +137,12 @@
         self.table.due.first()
     }
 
+    /// Traffic across zones, if it is decided on.
+    #[must_use]
+    pub const fn zones(&self) -> Option<&Shared> {
+        self.zones.as_ref()
+    }
+
     /// Counts since the start.
     #[must_use]
     pub fn counters(&self) -> Counters {
--- a/crates/fawnrouter-engine/src/interface.rs
+++ b/crates/fawnrouter-engine/src/interface.rs
@@ -10,6 +10,7 @@
 use fawnrouter_sip::Message;
 
 use fawnrouter_admission::SetUpSettings;
+use fawnrouter_zones::{Saved, ZoneSettings};
 
 use crate::{AuthSettings, BackoffSettings, CallRules, IntakeLimits, KnownClient};
 
@@ -54,6 +55,8 @@
     pub auth: Option<AuthSettings>,
     /// Fairness of set-ups among clients; `None`: each goes straight to the controller.
     pub set_ups: Option<SetUpSettings>,
+    /// Traffic across zones; `None`: every switch is as near as any other.
+    pub zones: Option<ZoneSettings>,
     /// Whether [`Output::Word`]s are wanted.
     pub words: bool,
 }
@@ -119,6 +122,8 @@
         /// The entries.
         switches: Vec<Switch>,
     },
+    /// What was spent across zones before a restart; `None` where that is not known any more.
+    Account(Option<Box<Saved>>),
     /// Nothing but time has passed: [`Engine::next_wake`](crate::Engine::next_wake) is due.
     Wake,
     /// No new calls from now on; [`Output::Drained`] follows when the last one has ended.
--- a/crates/fawnrouter-engine/src/lib.rs
+++ b/crates/fawnrouter-engine/src/lib.rs
@@ -31,11 +31,12 @@
 
 pub use backoff::{Backoff, BackoffSettings};
 pub use classify::{CallRules, Classified, Destination, Match, Rule};
-pub use engine::Engine;
+pub use engine::{Engine, EngineError};
 pub use fawnrouter;
 pub use fawnrouter_admission as admission;
 pub use fawnrouter_digest as digest;
 pub use fawnrouter_sip as sip;
+pub use fawnrouter_zones as zones;
 pub use gate::{AuthSettings, KnownClient, Strangers};
 pub use intake::{Intake, IntakeLimits, Load, Refusal};
 pub use interface::*;
--- a/crates/fawnrouter-engine/tests/common/mod.rs
+++ b/crates/fawnrouter-engine/tests/common/mod.rs
@@ -70,6 +70,7 @@
         longest_try: ms(60_000),
         auth: None,
         set_ups: None,
+        zones: None,
         words: false,
     }
 }
--- a/crates/fawnrouter-lab/src/fleet.rs
+++ b/crates/fawnrouter-lab/src/fleet.rs
@@ -169,6 +169,7 @@
             prove_ms: 3000,
         }),
         control: None,
+        zones: None,
         trunk: Trunk::default(),
         log: Log { format: LogFormat::Text, level: LogLevel::Warn },
         drain: Drain { time_ms: 3000 },
--- a/crates/fawnrouter-zones/src/account.rs
+++ b/crates/fawnrouter-zones/src/account.rs
@@ -31,6 +31,9 @@
     pub lines: Vec<LineState>,
 }
 
+/// A budget, what was spent of this gateway's share of it, and that share.
+pub type LineView = (Budget, LineState, (Option<u64>, Option<Money>));
+
 /// Why a spill cannot be paid for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the budget of this window is spent")]
@@ -293,7 +296,7 @@
 
     /// Each budget with what was spent of this gateway's share, and that share now.
     #[must_use]
-    pub fn lines(&self) -> Vec<(Budget, LineState, (Option<u64>, Option<Money>))> {
+    pub fn lines(&self) -> Vec<LineView> {
         let of = |l: &Line| (l.budget.clone(), l.state, l.allowance(self.me, 0.0));
         self.lines.iter().map(of).collect()
     }
--- a/crates/fawnrouter-zones/src/lib.rs
+++ b/crates/fawnrouter-zones/src/lib.rs
@@ -17,8 +17,8 @@
 mod record;
 mod zones;
 
-pub use account::{Account, Charge, Exhausted, LineState, Saved};
+pub use account::{Account, Charge, Exhausted, LineState, LineView, Saved};
 pub use budget::{Budget, BudgetError, Limit, Money, Span, share_of};
 pub use health::{Health, HealthSettings, State};
 pub use record::{Cause, Cell, Minute, Record};
-pub use zones::{Cost, ZoneSettings, Zones};
+pub use zones::{Cost, Shared, ZoneSettings, Zones};
--- a/crates/fawnrouter-zones/src/zones.rs
+++ b/crates/fawnrouter-zones/src/zones.rs
@@ -6,14 +6,14 @@
 //! holds on until its aim is near, or is refused by its time.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use fawnrouter::{CallId, Seen, ServerEntry, Time, Voice, Wanted};
 
 use crate::account::{Account, Charge, Saved};
 use crate::budget::{Budget, BudgetError, Money};
 use crate::health::{Health, HealthSettings, State};
-use crate::record::{Cause, Record};
+use crate::record::{Cause, Minute, Record};
 
 /// What a call to another zone costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,6 +96,11 @@
         self.account.restore(now.0, saved);
     }
 
+    /// Takes up the record of before a restart.
+    pub fn restore_record(&mut self, minutes: Vec<Minute>) {
+        self.record.restore(minutes);
+    }
+
     /// The account.
     #[must_use]
     pub const fn account(&self) -> &Account {
@@ -220,3 +225,38 @@
         self.record.take_back(now.0, out.class, out.charge.to(), out.cause, out.charge.cost());
     }
 }
+
+/// A voice that its embedder can look at while a controller holds it.
+#[derive(Clone, Debug)]
+pub struct Shared(Arc<Mutex<Zones>>);
+
+impl Shared {
+    /// Shares it.
+    #[must_use]
+    pub fn new(zones: Zones) -> Self {
+        Self(Arc::new(Mutex::new(zones)))
+    }
+
+    /// Looks at it, or changes it. One thread at a time; another one waits.
+    pub fn with<T>(&self, look: impl FnOnce(&mut Zones) -> T) -> T {
+        look(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Voice for Shared {
+    fn observe(&mut self, now: Time, servers: &mut dyn Iterator<Item = Seen<'_>>) {
+        self.with(|z| z.observe(now, servers));
+    }
+
+    fn weigh(&mut self, now: Time, wanted: &Wanted, server: &ServerEntry) -> f64 {
+        self.with(|z| z.weigh(now, wanted, server))
+    }
+
+    fn sent(&mut self, now: Time, wanted: &Wanted, server: &ServerEntry) {
+        self.with(|z| z.sent(now, wanted, server));
+    }
+
+    fn ended(&mut self, call: CallId, stood: bool) {
+        self.with(|z| z.ended(call, stood));
+    }
+}
--- a/crates/fawnrouter/src/interface.rs
+++ b/crates/fawnrouter/src/interface.rs
@@ -320,7 +320,7 @@
 /// A further voice in the choice of server, for what is not the throttle's to decide, as what it costs to cross into
 /// another zone. It is heard inside the first choice and the redraw, and can only narrow them: no server is open to a
 /// call because of it that was not before. Like the controller it has no clock and no unseeded randomness.
-pub trait Voice: std::fmt::Debug {
+pub trait Voice: std::fmt::Debug + Send {
     /// What all servers look like, once a tick.
     fn observe(&mut self, now: Time, servers: &mut dyn Iterator<Item = Seen<'_>>);
 
--- a/crates/fawnrouterd/src/cli.rs
+++ b/crates/fawnrouterd/src/cli.rs
@@ -10,7 +10,7 @@
 use fawnrouter_engine::digest::{Algorithm, ha1};
 
 use crate::control::{self, Reply};
-use crate::serve;
+use crate::{report, serve};
 
 /// A call router that sets up calls over trunk groups: SIP over WebSocket to callers, SIP over TCP to core switches.
 #[derive(Debug, Parser)]
@@ -50,6 +50,12 @@
         #[command(subcommand)]
         ask: Option<Ask>,
     },
+    /// Report on what a gateway did.
+    Report {
+        /// What on.
+        #[command(subcommand)]
+        on: Report,
+    },
     /// Read a password, one line on standard input, and print a known client's line for the file of clients.
     Secret {
         /// The client's name.
@@ -63,6 +69,34 @@
     },
 }
 
+/// Reports.
+#[derive(Clone, Debug, Subcommand)]
+pub enum Report {
+    /// Calls that went to other zones, by class, zones and cause, from the account that the settings name.
+    Spill {
+        /// The gateway's settings, YAML.
+        #[arg(long)]
+        config: PathBuf,
+        /// In what form.
+        #[arg(long, value_enum, default_value_t = Form::Table)]
+        form: Form,
+        /// The table's last minutes.
+        #[arg(long, default_value_t = 1440)]
+        minutes: u64,
+    },
+}
+
+/// The form of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    /// For people.
+    Table,
+    /// For programs: a record a minute, class, zone and cause.
+    Csv,
+    /// Drawn, calls a minute.
+    Svg,
+}
+
 /// What a running gateway is asked.
 #[derive(Clone, Debug, Subcommand)]
 pub enum Ask {
@@ -122,6 +156,12 @@
                 admission(&folder_of(&config).join(wanted.socket), ask.unwrap_or(Ask::Show), json)
             }
         },
+        Command::Report { on: Report::Spill { config, form, minutes } } => {
+            match fawnrouter_config::load(&config) {
+                Err(error) => wrong(&error),
+                Ok(settings) => spill(&config, &settings, form, minutes),
+            }
+        }
         Command::Secret { name, realm, md5 } => secret(&name, &realm, md5),
         Command::Schema => match serde_json::to_string_pretty(&fawnrouter_config::schema()) {
             Ok(text) => {
@@ -202,6 +242,33 @@
     }
 }
 
+fn spill(config: &Path, settings: &Settings, form: Form, minutes: u64) -> ExitCode {
+    let Some(zones) = &settings.zones else {
+        let name = config.display();
+        return wrong(&format!("{name}: zones: is missing; without it no traffic across zones is counted"));
+    };
+    let file = folder_of(config).join(&zones.account);
+    let ledger = match crate::ledger::read(&file) {
+        Ok(ledger) => ledger,
+        Err(error) => {
+            eprintln!("{}: {error}; a gateway writes it once it has started", file.display());
+            return ExitCode::FAILURE;
+        }
+    };
+    match form {
+        Form::Table => print!("{}", report::table(&ledger, minutes)),
+        Form::Csv => print!("{}", report::csv(&ledger)),
+        Form::Svg => match report::svg(&ledger) {
+            Ok(text) => println!("{text}"),
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::FAILURE;
+            }
+        },
+    }
+    ExitCode::SUCCESS
+}
+
 fn secret(name: &str, realm: &str, md5: bool) -> ExitCode {
     let mut password = String::new();
     if let Err(error) = std::io::stdin().read_line(&mut password) {
--- /dev/null
+++ b/crates/fawnrouterd/src/ledger.rs
@@ -0,0 +1,146 @@
+//! The account of traffic across zones, kept over a restart: one file, checked by a sum and replaced as a whole.
+
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use fawnrouter_engine::Input;
+use fawnrouter_engine::zones::{Minute, Saved};
+use serde::{Deserialize, Serialize};
+
+use crate::core::Core;
+
+/// Between two looks whether there is something to save: a gateway that is killed forgets this much of its spending.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// What the file holds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// The zone that the gateway is in.
+    pub own: String,
+    /// The classes' names, by their numbers.
+    pub classes: Vec<String>,
+    /// The account.
+    pub account: Saved,
+    /// What spilled, minute by minute.
+    pub minutes: Vec<Minute>,
+}
+
+/// Why a file cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum LedgerError {
+    /// It cannot be read or written.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// Its sum does not fit, or it is no account.
+    #[error("it is damaged: {0}")]
+    Damaged(String),
+}
+
+/// Reads a file.
+///
+/// # Errors
+/// See [`LedgerError`].
+pub fn read(file: &Path) -> Result<Ledger, LedgerError> {
+    let text = fs::read_to_string(file)?;
+    let (sum, body) = text.split_once('\n').ok_or_else(|| LedgerError::Damaged("it has one line".into()))?;
+    let wanted = u32::from_str_radix(sum.trim(), 16).ok();
+    if wanted != Some(crc32fast::hash(body.as_bytes())) {
+        return Err(LedgerError::Damaged("its sum does not fit".into()));
+    }
+    serde_json::from_str(body).map_err(|error| LedgerError::Damaged(error.to_string()))
+}
+
+/// Replaces a file: written beside it, brought to the disk, and put in its place.
+fn write(file: &Path, ledger: &Ledger) -> io::Result<()> {
+    let body = serde_json::to_string(ledger).map_err(io::Error::other)?;
+    let fresh = file.with_extension("new");
+    let mut out = fs::File::create(&fresh)?;
+    write!(out, "{:08x}\n{body}", crc32fast::hash(body.as_bytes()))?;
+    out.sync_all()?;
+    fs::rename(fresh, file)
+}
+
+/// Takes up the account of before a restart. One that is not there means a first start; one that is damaged means that
+/// this window's share counts as spent.
+pub async fn take_up(core: &Rc<Core>, file: &Path) {
+    let path = file.to_owned();
+    match blocking::unblock(move || read(&path)).await {
+        Ok(ledger) => {
+            let minutes = ledger.minutes;
+            core.input(Input::Account(Some(Box::new(ledger.account))));
+            core.with_engine(|engine| engine.zones().map(|z| z.with(|z| z.restore_record(minutes))));
+        }
+        Err(LedgerError::Io(error)) if error.kind() == io::ErrorKind::NotFound => {
+            tracing::info!("{}: no account of zones yet; nothing is spent", file.display());
+        }
+        Err(error) => {
+            let name = file.display();
+            tracing::warn!("{name}: {error}; the budgets across zones count as spent in this window");
+            core.input(Input::Account(None));
+        }
+    }
+}
+
+fn ledger(core: &Core) -> Option<Ledger> {
+    let classes = core.settings.classes.iter().map(|c| c.name.clone()).collect();
+    let own = core.settings.zones.as_ref()?.own.clone();
+    core.with_engine(|engine| {
+        engine.zones().map(|zones| {
+            zones.with(|z| Ledger {
+                own,
+                classes,
+                account: z.account().save(),
+                minutes: z.record().minutes().cloned().collect(),
+            })
+        })
+    })
+}
+
+/// Saves the account now.
+pub async fn save(core: &Rc<Core>, file: PathBuf) {
+    let Some(ledger) = ledger(core) else { return };
+    let name = file.display().to_string();
+    if let Err(error) = blocking::unblock(move || write(&file, &ledger)).await {
+        tracing::warn!("{name}: the account of zones cannot be saved: {error}; calls go on");
+    }
+}
+
+/// Saves the account whenever something was spent, for ever.
+pub async fn keep(core: Rc<Core>, file: PathBuf) {
+    let mut last = None;
+    loop {
+        Timer::after(PAUSE).await;
+        let now = core.with_engine(|e| e.zones().map(|z| z.with(|z| z.account().save().lines)));
+        if now != last {
+            save(&core, file.clone()).await;
+            last = now;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_ledger_is_read_as_it_was_written_and_a_damaged_one_is_told() {
+        let folder = std::env::temp_dir().join(format!("fawnrouter-ledger-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let file = folder.join("account");
+        assert!(matches!(read(&file), Err(LedgerError::Io(e)) if e.kind() == io::ErrorKind::NotFound));
+        let ledger = Ledger { own: "kochi".into(), classes: vec!["check".into()], ..Ledger::default() };
+        write(&file, &ledger).expect("written");
+        assert_eq!(read(&file).expect("sound"), ledger);
+        let text = fs::read_to_string(&file).expect("text");
+        for damaged in [text.replacen("kochi", "kocha", 1), text[..text.len() - 3].to_owned(), String::new()]
+        {
+            fs::write(&file, damaged).expect("written");
+            assert!(matches!(read(&file), Err(LedgerError::Damaged(_))));
+        }
+        fs::remove_dir_all(folder).expect("removed");
+    }
+}
--- /dev/null
+++ b/crates/fawnrouterd/src/report.rs
@@ -0,0 +1,183 @@
+//! `fawnrouter report spill`: what went to other zones, as a table, as CSV, or drawn.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use fawnrouter_engine::zones::Cause;
+use plotters::prelude::*;
+
+use crate::ledger::Ledger;
+
+const fn text(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Pressed => "own zone pressed",
+        Cause::Down => "own zone down",
+        Cause::Cold => "own zone cold",
+        Cause::NoSwitch => "no switch in own zone",
+        Cause::Free => "costs nothing",
+        Cause::BudgetOut => "budget out, not sent",
+    }
+}
+
+fn class(ledger: &Ledger, class: u32) -> &str {
+    ledger.classes.get(class as usize).map_or("(none)", String::as_str)
+}
+
+/// A line a class, pair of zones and cause, over the last minutes that are kept.
+pub fn table(ledger: &Ledger, minutes: u64) -> String {
+    let last = ledger.minutes.last().map_or(0, |m| m.minute);
+    let mut sums: BTreeMap<(&str, &str, &str), (u64, f64)> = BTreeMap::new();
+    for minute in ledger.minutes.iter().filter(|m| m.minute + minutes > last) {
+        for ((number, to, cause), cell) in &minute.cells {
+            let sum = sums.entry((class(ledger, *number), to, text(*cause))).or_default();
+            sum.0 += cell.calls;
+            sum.1 += cell.money.in_units();
+        }
+    }
+    let mut out = format!("{:<20} {:<32} {:<24} {:>8} {:>12}\n", "class", "zones", "cause", "calls", "cost");
+    for ((class, to, cause), (calls, cost)) in &sums {
+        let pair = format!("{} to {to}", ledger.own);
+        let _ = writeln!(out, "{class:<20} {pair:<32} {cause:<24} {calls:>8} {cost:>12.2}");
+    }
+    for (budget, line) in ledger.account.budgets.iter().zip(&ledger.account.lines) {
+        let to = budget.to.as_deref().unwrap_or("all others");
+        let limit = |n: Option<String>| n.unwrap_or_else(|| "any".into());
+        let _ = writeln!(
+            out,
+            "spent here in the present {:?}, to {to}: {} calls, {:.2} cost; the zone's budget: {} calls, {} cost, \
+             shared by {}",
+            budget.span,
+            line.spent.0,
+            line.spent.1.in_units(),
+            limit(budget.limit.calls.map(|n| n.to_string())),
+            limit(budget.limit.money.map(|m| format!("{:.2}", m.in_units()))),
+            budget.sharers
+        );
+    }
+    out
+}
+
+/// A field of CSV (RFC 4180).
+fn field(text: &str) -> String {
+    if text.contains([',', '"', '\n', '\r']) {
+        format!("\"{}\"", text.replace('"', "\"\""))
+    } else {
+        text.into()
+    }
+}
+
+/// A record a minute, class, zone and cause.
+pub fn csv(ledger: &Ledger) -> String {
+    let mut out = String::from("unix_s,class,from,to,cause,calls,cost\r\n");
+    for minute in &ledger.minutes {
+        for ((number, to, cause), cell) in &minute.cells {
+            let _ = write!(
+                out,
+                "{},{},{},{},{},{},{:.6}\r\n",
+                minute.minute * 60,
+                field(class(ledger, *number)),
+                field(&ledger.own),
+                field(to),
+                text(*cause),
+                cell.calls,
+                cell.money.in_units()
+            );
+        }
+    }
+    out
+}
+
+/// Calls a minute to each zone over the minutes that are kept, as SVG.
+///
+/// # Errors
+/// Where the library cannot draw it.
+pub fn svg(ledger: &Ledger) -> Result<String, String> {
+    let mut zones: BTreeMap<&str, BTreeMap<u64, u64>> = BTreeMap::new();
+    for minute in &ledger.minutes {
+        for ((_, to, cause), cell) in &minute.cells {
+            if *cause != Cause::BudgetOut {
+                *zones.entry(to).or_default().entry(minute.minute).or_default() += cell.calls;
+            }
+        }
+    }
+    let last = ledger.minutes.last().map_or(1, |m| m.minute);
+    let first = ledger.minutes.first().map_or(0, |m| m.minute).min(last);
+    let most = zones.values().flat_map(BTreeMap::values).copied().max().unwrap_or(1).max(1);
+    let mut out = String::new();
+    {
+        let area = SVGBackend::with_string(&mut out, (960, 420)).into_drawing_area();
+        let fail = |error: &dyn std::fmt::Display| error.to_string();
+        area.fill(&WHITE).map_err(|e| fail(&e))?;
+        let span = (last - first + 1) as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(format!("calls a minute from {} to other zones", ledger.own), ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(36)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..span, 0.0..most as f64 * 1.05)
+            .map_err(|e| fail(&e))?;
+        chart.configure_mesh().x_desc("minutes").y_desc("calls a minute").draw().map_err(|e| fail(&e))?;
+        for (n, (zone, calls)) in zones.iter().enumerate() {
+            let color = Palette99::pick(n).to_rgba();
+            let points =
+                (first..=last).map(|m| ((m - first) as f64, calls.get(&m).copied().unwrap_or(0) as f64));
+            chart
+                .draw_series(LineSeries::new(points, color.stroke_width(2)))
+                .map_err(|e| fail(&e))?
+                .label(*zone)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2)));
+        }
+        if !zones.is_empty() {
+            chart.configure_series_labels().border_style(BLACK).draw().map_err(|e| fail(&e))?;
+        }
+        area.present().map_err(|e| fail(&e))?;
+    }
+    Ok(out)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use fawnrouter_engine::zones::{Cell, Minute, Money};
+
+    fn ledger() -> Ledger {
+        let cell = |calls| Cell { calls, money: Money::units(calls as f64 * 1.5) };
+        let minute = |n, calls| Minute {
+            minute: n,
+            cells: vec![
+                ((0, "north, far".into(), Cause::Down), cell(calls)),
+                ((7, "east".into(), Cause::BudgetOut), cell(1)),
+            ],
+        };
+        Ledger {
+            own: "kochi".into(),
+            classes: vec!["check".into()],
+            minutes: vec![minute(100, 4), minute(101, 6)],
+            ..Ledger::default()
+        }
+    }
+
+    #[test]
+    fn the_table_sums_the_minutes_asked_for() {
+        let all = table(&ledger(), 60);
+        assert!(all.contains("check                kochi to north, far              own zone down                  10        15.00"), "{all}");
+        assert!(table(&ledger(), 1).contains("own zone down                   6         9.00"));
+    }
+
+    #[test]
+    fn csv_has_a_record_a_kind_and_quotes_what_must_be() {
+        let text = csv(&ledger());
+        assert_eq!(text.lines().count(), 5);
+        assert!(text.contains("6000,check,kochi,\"north, far\",own zone down,4,6.000000\r\n"), "{text}");
+    }
+
+    #[test]
+    fn the_drawing_shows_each_zone_that_calls_went_to_and_an_empty_day_too() {
+        let drawn = svg(&ledger()).expect("drawn");
+        assert!(
+            drawn.starts_with("<svg") && drawn.contains("north, far") && !drawn.contains("east"),
+            "{drawn}"
+        );
+        assert!(svg(&Ledger::default()).expect("drawn").starts_with("<svg"));
+    }
+}
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -11,8 +11,7 @@
 use async_signal::{Signal, Signals};
 use fawnrouter_admission::{Admission, DescriptorSettings, Descriptors, TooFew};
 use fawnrouter_config::Settings;
-use fawnrouter_engine::fawnrouter::SettingsError;
-use fawnrouter_engine::{Engine, EngineSettings, Input};
+use fawnrouter_engine::{Engine, EngineError, EngineSettings, Input};
 use fawnrouter_ws::CloseCode;
 use futures_lite::{StreamExt, future};
 
@@ -20,7 +19,7 @@
 
 use crate::core::Core;
 use crate::door::Door;
-use crate::{accept, control, list, trunk};
+use crate::{accept, control, ledger, list, trunk};
 
 /// Why the gateway cannot run.
 #[derive(Debug, thiserror::Error)]
@@ -55,7 +54,7 @@
     Admission(#[from] fawnrouter_admission::SettingsError),
     /// The decisions refuse the settings.
     #[error(transparent)]
-    Settings(#[from] SettingsError),
+    Settings(#[from] EngineError),
 }
 
 /// Last bytes get this long to be written at the end.
@@ -83,7 +82,7 @@
     settings: Settings,
     folder: PathBuf,
     ready: impl FnOnce(SocketAddr, &str),
-    engine: impl FnOnce(EngineSettings) -> Result<Engine, SettingsError>,
+    engine: impl FnOnce(EngineSettings) -> Result<Engine, EngineError>,
 ) -> Result<bool, RunError> {
     let address = settings.listen.address;
     let listen = |error| RunError::Listen { address, error };
@@ -113,6 +112,7 @@
         settings.control.as_ref().map(|c| control::listen(&folder.join(&c.socket))).transpose()?;
     let file = folder.join(&settings.switches.file);
     let clients = settings.clients.as_ref().map(|c| folder.join(&c.file));
+    let account = settings.zones.as_ref().map(|z| folder.join(&z.account));
     let path = settings.listen.path.clone();
     let executor = Rc::new(LocalExecutor::new());
     let core = Core::new(settings, engine, door, trunk::open, &executor);
@@ -126,6 +126,10 @@
         ];
         tasks.extend(clients.map(|file| executor.spawn(list::clients(core.clone(), file))));
         tasks.extend(operators.map(|socket| executor.spawn(control::serve(core.clone(), socket))));
+        if let Some(file) = &account {
+            ledger::take_up(&core, file).await;
+            tasks.push(executor.spawn(ledger::keep(core.clone(), file.clone())));
+        }
         let accepting = executor.spawn(accept::accept(core.clone(), listener));
         tracing::info!(%bound, "gateway ready");
         ready(bound, &path);
@@ -170,6 +174,9 @@
             Timer::after(LAST_WORDS).await;
         })
         .await;
+        if let Some(file) = account {
+            ledger::save(&core, file).await;
+        }
         core.log_counts();
         drop(tasks);
         clean
