--- a/crates/fawnrouter-audit/src/judge.rs
+++ b/crates/fawnrouter-audit/src/judge.rs
@@ -74,6 +74,8 @@
     pub open: u64,
     /// The most that a tap was held up.
     pub latest: Duration,
+    /// Calls that switches took (200), by the gateway's host in the Via, the switch, and the minute of the record.
+    pub took: BTreeMap<(String, u32, u64), u64>,
 }
 
 impl Verdict {
@@ -106,6 +108,7 @@
 #[derive(Debug)]
 struct Attempt {
     conn: u64,
+    host: String,
     branch: String,
     sent: Duration,
     within: Option<Duration>,
@@ -367,7 +370,7 @@
         let within = sip.within_ms.map(Duration::from_millis);
         self.by_branch.insert((conn, sip.branch.clone()), session.clone());
         let sent = at.saturating_sub(self.late);
-        let attempt = Attempt { conn, branch: sip.branch, sent, within, ended: None };
+        let attempt = Attempt { conn, host: sip.via_host, branch: sip.branch, sent, within, ended: None };
         self.attempts.entry(session).or_default().push(attempt);
     }
 
@@ -400,11 +403,26 @@
 
     fn switch_sent(&mut self, at: Duration, conn: u64, sip: &Sip) {
         if let Some(status) = sip.status.filter(|s| *s >= 200 && sip.method == "INVITE") {
+            if status < 300 {
+                self.count_taken(at, conn, &sip.branch);
+            }
             // 408 and 504 are time-outs of the switch, 487 its word that it was called off.
             self.end_attempt(at, conn, &sip.branch, matches!(status, 408 | 487 | 504));
         }
     }
 
+    /// A switch took a call: counted for the gateway that its set-up came from.
+    fn count_taken(&mut self, at: Duration, conn: u64, branch: &str) {
+        let Some(Reader::Trunk { switch, .. }) = self.readers.get(&conn) else { return };
+        let session = self.by_branch.get(&(conn, branch.to_owned()));
+        let mut attempts = session.and_then(|s| self.attempts.get(s)).into_iter().flatten();
+        // A repeated 200 finds its attempt ended.
+        if let Some(attempt) = attempts.find(|a| a.conn == conn && a.branch == branch && a.ended.is_none()) {
+            let key = (attempt.host.clone(), *switch, at.as_secs() / 60);
+            *self.verdict.took.entry(key).or_default() += 1;
+        }
+    }
+
     fn end_attempt(&mut self, at: Duration, conn: u64, branch: &str, guarded: bool) {
         let session = self.by_branch.get(&(conn, branch.to_owned()));
         let attempts = session.and_then(|s| self.attempts.get_mut(s)).into_iter().flatten();
--- a/crates/fawnrouter-audit/tests/planted.rs
+++ b/crates/fawnrouter-audit/tests/planted.rs
@@ -126,6 +126,8 @@
     let verdict = stand.auditor.finish();
     assert!(verdict.clean(), "{verdict:?}");
     assert_eq!((verdict.calls, verdict.attempts), (2, 2));
+    let took: Vec<_> = verdict.took.into_iter().collect();
+    assert_eq!(took, [(("gw0".to_owned(), 71, 0), 1)], "switch 70 refused, switch 71 took one call");
 }
 
 #[test]
--- a/crates/fawnrouter-config/tests/errors.rs
+++ b/crates/fawnrouter-config/tests/errors.rs
@@ -109,3 +109,29 @@
         assert!(schema["properties"].get(section).is_some(), "{section}");
     }
 }
+
+#[test]
+fn zones_take_what_begins_in_the_own_zone_and_contradictions_are_told() {
+    let text = format!(
+        "{GOOD}zones:\n  own: kochi\n  gateways: 3\n  account: z.json\n  costs:\n    - {{ from: kochi, to: north, per_call: 2 }}\n    \
+         - {{ from: north, to: kochi, per_call: 5 }}\n    - {{ from: kochi, to: south, forbidden: true }}\n  budgets:\n    \
+         - {{ window: hour, calls: 60 }}\n    - {{ from: north, window: day, money: 10 }}\n"
+    );
+    let zones = parse("g.yaml", &text).unwrap().zone_settings().expect("zones");
+    assert_eq!((zones.costs.len(), zones.budgets.len(), zones.budgets[0].sharers), (2, 1, 3));
+    assert!(parse("g.yaml", GOOD).unwrap().zone_settings().is_none());
+    let wrong = text
+        .replace("per_call: 2 }", "per_call: 2, forbidden: true }")
+        .replace("gateways: 3", "gateways: 3\n  number: 3")
+        .replace("{ window: hour, calls: 60 }", "{ window: hour }")
+        .replace("from: north, to: kochi", "from: north, to: north");
+    let lines = parse("g.yaml", &wrong).unwrap_err().to_string();
+    for said in [
+        "zones.costs.0: give per_call",
+        "zones.number: is not below",
+        "zones.budgets.0: limits nothing",
+        "zones.costs.1.to: is the zone itself",
+    ] {
+        assert!(lines.contains(said), "{said} in {lines}");
+    }
+}
--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -10,14 +10,15 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use fawnrouter_audit::{Figures, Listed, Seen};
+use fawnrouter_audit::{Figures, Listed, Seen, Verdict};
 use fawnrouter_config::{SwitchFile, SwitchLine, SwitchState};
+use fawnrouterd::engine::zones::Cause;
 
 use crate::callers::{Callers, Kind};
-use crate::fleet::{GatewayProcess, LIST_REACHES, settings, write_clients, write_list};
+use crate::fleet::{GatewayProcess, LIST_REACHES, account_of, settings, write_clients, write_list};
 use crate::flood;
 use crate::plan::{Act, timeline};
-use crate::report::Report;
+use crate::report::{Report, Spill};
 use crate::script::{FIRST_SWITCH, Script, SwitchPlan};
 use crate::stand::Stand;
 use crate::switch::Make;
@@ -62,6 +63,8 @@
     pub tap: Rc<Tap>,
     pub executor: Rc<LocalExecutor<'static>>,
     stands: RefCell<BTreeMap<u32, Rc<Stand>>>,
+    /// The pool of each switch that there ever was.
+    pools: RefCell<BTreeMap<u32, u32>>,
     registry: RefCell<Registry>,
     load: Cell<f64>,
     /// Where the gateways listen, and the floods that were let loose on them.
@@ -126,6 +129,7 @@
             tap,
             executor: executor.clone(),
             stands: RefCell::default(),
+            pools: RefCell::default(),
             registry: RefCell::new(registry),
             load: Cell::new(1.0),
             gateways: RefCell::default(),
@@ -157,6 +161,7 @@
         let stand = Stand::open(id, make, cold, &self.tap, &self.executor)?;
         self.list_ready(&stand, pool, plan, cold);
         self.stands.borrow_mut().insert(id, stand);
+        self.pools.borrow_mut().insert(id, pool);
         Ok(())
     }
 
@@ -357,6 +362,34 @@
         }
     }
 
+    /// What crossed zones, by the auditor and by the gateways themselves.
+    fn spill(&self, audit: &Verdict) -> io::Result<Vec<Spill>> {
+        let Some(zones) = &self.script.zones else { return Ok(Vec::new()) };
+        let folder = self.registry.borrow().folder.path().to_owned();
+        let zone_of = |switch: u32| {
+            let pool = self.pools.borrow().get(&switch).copied().unwrap_or(0);
+            self.script.switches[pool as usize].zone.clone()
+        };
+        let mut all = Vec::new();
+        for number in 0..self.script.gateways {
+            let own = zones.gateways[number as usize % zones.gateways.len()].clone();
+            let host = format!("gw{number}.invalid");
+            let took = audit.took.iter().filter(|((h, switch, _), _)| *h == host && zone_of(*switch) != own);
+            let seen = took.map(|(_, n)| n).sum();
+            let ledger =
+                fawnrouterd::ledger::read(&folder.join(account_of(number))).map_err(io::Error::other)?;
+            let cells = || ledger.minutes.iter().flat_map(|m| &m.cells);
+            let count = |out: bool| {
+                cells()
+                    .filter(|((_, _, cause), _)| (*cause == Cause::BudgetOut) == out)
+                    .map(|(_, c)| c.calls)
+                    .sum()
+            };
+            all.push(Spill { gateway: (number, own), seen, told: count(false), passed_over: count(true) });
+        }
+        Ok(all)
+    }
+
     /// Runs the day to its end.
     pub async fn run(self: &Rc<Self>, options: DayOptions) -> io::Result<Report> {
         let mut gateways = self.start_gateways(options).await?;
@@ -407,6 +440,7 @@
         let stands = self.stands.borrow();
         report.fallen = stands.values().filter(|s| s.fallen()).map(|s| s.id).collect();
         report.audit = self.tap.finish(figures(&self.script));
+        report.spill = self.spill(&report.audit)?;
         Ok(report)
     }
 }
--- a/crates/fawnrouter-lab/src/fleet.rs
+++ b/crates/fawnrouter-lab/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use fawnrouter_config::{
     Calls, Clients, Drain, Gateway, Listen, Log, LogFormat, LogLevel, Settings, StrangersMay, SwitchFile,
-    Switches, Trunk, load,
+    Switches, Trunk, ZonesPlan, load,
 };
 use fawnrouterd::engine::Engine;
 use fawnrouterd::engine::digest::{Algorithm, ha1};
@@ -169,13 +169,32 @@
             prove_ms: 3000,
         }),
         control: None,
-        zones: None,
+        zones: script.zones.as_ref().map(|zones| {
+            let zone = |n: u32| &zones.gateways[n as usize % zones.gateways.len()];
+            let own = zone(number);
+            ZonesPlan {
+                own: own.clone(),
+                number: (0..number).filter(|n| zone(*n) == own).count() as u32,
+                gateways: (0..script.gateways).filter(|n| zone(*n) == own).count() as u32,
+                costs: Vec::new(),
+                other_cost: zones.cost,
+                points_a_unit: 0.2,
+                budgets: zones.budgets.clone(),
+                account: account_of(number).into(),
+            }
+        }),
         trunk: Trunk::default(),
         log: Log { format: LogFormat::Text, level: LogLevel::Warn },
         drain: Drain { time_ms: 3000 },
     }
 }
 
+/// The name of a gateway's account of zones.
+#[must_use]
+pub fn account_of(number: u32) -> String {
+    format!("account{number}")
+}
+
 /// The realm of the lab's known clients.
 pub const REALM: &str = "lab.invalid";
 
--- a/crates/fawnrouter-lab/src/report.rs
+++ b/crates/fawnrouter-lab/src/report.rs
@@ -64,6 +64,19 @@
     pub service: f64,
 }
 
+/// Calls of one gateway that other zones' switches took.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spill {
+    /// The gateway's number and zone.
+    pub gateway: (u32, String),
+    /// As the auditor saw it on the sockets of the switches.
+    pub seen: u64,
+    /// As the gateway's own account has it.
+    pub told: u64,
+    /// Calls that its budget had nothing left for.
+    pub passed_over: u64,
+}
+
 /// All figures of a run.
 #[derive(Debug)]
 pub struct Report {
@@ -83,6 +96,8 @@
     pub connects: (u64, u64),
     /// What came of each flood of strangers.
     pub floods: Vec<(&'static str, FloodFigures)>,
+    /// Calls that went across zones, with those that the gateways' own accounts have.
+    pub spill: Vec<Spill>,
     /// Stand-ins that were pushed over while cold.
     pub fallen: Vec<u32>,
     /// The auditor's verdict.
@@ -108,6 +123,7 @@
             windows: Vec::new(),
             connects: (0, 0),
             floods: Vec::new(),
+            spill: Vec::new(),
             fallen: Vec::new(),
             audit: Verdict::default(),
             seconds: BTreeMap::new(),
@@ -226,6 +242,15 @@
         for (way, figures) in &self.floods {
             writeln!(f, "flood by {way:<9} {figures}")?;
         }
+        for s in &self.spill {
+            let (number, zone) = &s.gateway;
+            writeln!(
+                f,
+                "spill of gateway {number} in {zone}: {} seen on the sockets, {} in its account, {} passed over for \
+                 want of budget",
+                s.seen, s.told, s.passed_over
+            )?;
+        }
         for id in &self.fallen {
             writeln!(f, "stand-in {id} was pushed over while cold")?;
         }
--- a/crates/fawnrouter-lab/src/script.rs
+++ b/crates/fawnrouter-lab/src/script.rs
@@ -1,6 +1,6 @@
 //! The script of a day: who calls what, which switches there are, and what goes wrong when.
 
-use fawnrouter_config::{Admission, Class, ConfigError, Document, Fault, Limits, Rules};
+use fawnrouter_config::{Admission, BudgetPlan, Class, ConfigError, Document, Fault, Limits, Rules};
 
 use crate::flood::Way;
 use schemars::JsonSchema;
@@ -41,6 +41,9 @@
     /// The figures of the rules.
     #[serde(default)]
     pub rules: Rules,
+    /// Zones of gateways, and what may go across; left out, gateways know no zones.
+    #[serde(default)]
+    pub zones: Option<ZoneScript>,
     /// Known clients that the callers' connections belong to in turn; none if 0.
     #[serde(default)]
     #[schemars(range(max = 1000))]
@@ -57,6 +60,23 @@
     pub troubles: Vec<Trouble>,
 }
 
+/// Zones of a script.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneScript {
+    /// Zones of the gateways, in turn.
+    #[schemars(length(min = 1, max = 64))]
+    pub gateways: Vec<String>,
+    /// What a call to another zone costs.
+    #[serde(default = "cost")]
+    #[schemars(range(min = 0.0, max = 1e9))]
+    pub cost: f64,
+    /// Budgets.
+    #[serde(default)]
+    #[schemars(length(max = 100))]
+    pub budgets: Vec<BudgetPlan>,
+}
+
 /// A stand-in switch.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -246,6 +266,10 @@
     }
 }
 
+fn cost() -> f64 {
+    1.0
+}
+
 fn connections() -> u32 {
     4
 }
--- a/crates/fawnrouter-lab/tests/sockets.rs
+++ b/crates/fawnrouter-lab/tests/sockets.rs
@@ -291,3 +291,29 @@
     let text = String::from_utf8_lossy(&out.stdout).into_owned();
     assert!(out.status.code() == Some(1) && text.contains("BROKEN rule 5"), "{text}");
 }
+
+#[test]
+fn a_zone_restarts_and_the_auditor_and_the_gateways_count_the_same_spill_within_the_budget() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let text = std::fs::read_to_string(format!("{}/../../examples/zones.yaml", env!("CARGO_MANIFEST_DIR")));
+    let text = text.expect("the example").replace("seconds: 50", "seconds: 12");
+    let text = text.replace(
+        "at_ms: 15000, for_ms: 8000, switches: [70, 71]",
+        "at_ms: 2000, for_ms: 6000, switches: [70, 71, 72]",
+    );
+    let script = folder.path().join("zones.yaml");
+    std::fs::write(&script, text).expect("written");
+    let out = lab(&["day", script.to_str().expect("text"), "--quiet"]);
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(out.status.success(), "{text}");
+    let mut north = 0;
+    for line in text.lines().filter(|l| l.starts_with("spill of gateway")) {
+        let numbers: Vec<u64> = line.split([' ', ',']).filter_map(|w| w.parse().ok()).collect();
+        let [_, seen, told, _] = numbers[..] else { panic!("{line}") };
+        // A 200 that crosses the end of its attempt stands at the switch and not for the gateway.
+        assert!(seen.abs_diff(told) <= 3, "{line}");
+        north += if line.contains("in north") { told } else { 0 };
+    }
+    // Sixty a minute, as many again while the zone is down, and the day may lie in two minutes.
+    assert!((10..=240).contains(&north), "{text}");
+}
--- a/crates/fawnrouter-zones/src/health.rs
+++ b/crates/fawnrouter-zones/src/health.rs
@@ -169,10 +169,11 @@
         self.level
     }
 
-    /// Whether any switch of the zone is known.
+    /// Whether any switch of the zone is known. Before the first look it is taken for granted: guards against the first
+    /// calls after a start, which went anywhere. A gateway alone in its zone holds them until that look.
     #[must_use]
     pub fn has_switches(&self) -> bool {
-        !self.listed.is_empty()
+        self.at.is_zero() || !self.listed.is_empty()
     }
 }
 
--- a/crates/fawnrouter-zones/src/record.rs
+++ b/crates/fawnrouter-zones/src/record.rs
@@ -68,10 +68,9 @@
         });
     }
 
-    /// Takes a call back that did not stand. In another minute than its own it is not told apart from the others there,
-    /// which the total makes up for.
-    pub fn take_back(&mut self, now: Duration, class: u32, to: &Arc<str>, cause: Cause, money: Money) {
-        self.change(now, class, to, cause, |cell| {
+    /// Takes a call back that did not stand, from the minute in which it was counted.
+    pub fn take_back(&mut self, at: Duration, class: u32, to: &Arc<str>, cause: Cause, money: Money) {
+        self.change(at, class, to, cause, |cell| {
             cell.calls = cell.calls.saturating_sub(1);
             cell.money = Money(cell.money.0.saturating_sub(money.0));
         });
@@ -86,7 +85,10 @@
             }
         }
         let key = (class, to.clone(), cause);
-        if let Some(current) = self.minutes.back_mut() {
+        // The minute itself: an earlier one that is no longer kept has nothing to be changed.
+        if let Some(current) =
+            self.minutes.iter_mut().rev().find(|m| m.minute <= minute).filter(|m| m.minute == minute)
+        {
             let same = current.cells.iter().position(|(k, _)| *k == key);
             let full = current.cells.len() >= KINDS;
             // In a full minute, the last kind of the same cause stands for the rest.
--- a/crates/fawnrouter-zones/src/zones.rs
+++ b/crates/fawnrouter-zones/src/zones.rs
@@ -54,6 +54,7 @@
     class: u32,
     charge: Charge,
     cause: Cause,
+    at: Time,
 }
 
 /// The voice of zones for one gateway.
@@ -211,7 +212,7 @@
         if let Ok(charge) = self.account.charge(now.0, &server.zone, cost, self.health.level()) {
             self.record.count(now.0, class, &server.zone, cause, cost);
             if self.out.len() < MOST_OUT {
-                self.out.insert(wanted.call, Out { class, charge, cause });
+                self.out.insert(wanted.call, Out { class, charge, cause, at: now });
             }
         }
     }
@@ -222,7 +223,7 @@
         let now = self.now;
         let Some(out) = self.out.remove(&call).filter(|_| !stood) else { return };
         self.account.refund(now.0, &out.charge);
-        self.record.take_back(now.0, out.class, out.charge.to(), out.cause, out.charge.cost());
+        self.record.take_back(out.at.0, out.class, out.charge.to(), out.cause, out.charge.cost());
     }
 }
 
--- a/crates/fawnrouter-zones/tests/common/mod.rs
+++ b/crates/fawnrouter-zones/tests/common/mod.rs
@@ -16,7 +16,7 @@
 /// The list is this late.
 const LIST_DELAY: Duration = Duration::from_secs(1);
 const FULL_AFTER: f64 = 2.0;
-const COLD: (f64, f64) = (0.3, 14.0);
+pub const COLD: (f64, f64) = (0.3, 14.0);
 
 /// How other zones are dealt with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
