Zones: grants between gateways, trunk groups in the report, delay in the lab, kill in mid-window

Need: shares that nobody uses were lost to busy gateways; a gateway that is killed must not spend twice; operators see what crosses now.

The report tells trunk groups (pools) apart, 'fawnrouter admission zones' shows state and budgets. Stand-ins hold up what comes from and goes to gateways of other zones.

Module: comments wrapped only.

--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -20,7 +20,7 @@
 use crate::plan::{Act, timeline};
 use crate::report::{Report, Spill};
 use crate::script::{FIRST_SWITCH, Script, SwitchPlan};
-use crate::stand::Stand;
+use crate::stand::{Distance, Stand};
 use crate::switch::Make;
 use crate::tap::Tap;
 
@@ -158,7 +158,13 @@
             fall_time: ms(rules.fall_ms),
             contact: String::new(),
         };
-        let stand = Stand::open(id, make, cold, &self.tap, &self.executor)?;
+        let zones = self.script.zones.as_ref();
+        let distance = Distance {
+            zone: plan.zone.clone(),
+            gateways: zones.map(|z| z.gateways.clone()).unwrap_or_default(),
+            cross: ms(zones.map_or(0, |z| z.cross_ms)),
+        };
+        let stand = Stand::open(id, (make, distance), cold, &self.tap, &self.executor)?;
         self.list_ready(&stand, pool, plan, cold);
         self.stands.borrow_mut().insert(id, stand);
         self.pools.borrow_mut().insert(id, pool);
@@ -381,7 +387,7 @@
             let cells = || ledger.minutes.iter().flat_map(|m| &m.cells);
             let count = |out: bool| {
                 cells()
-                    .filter(|((_, _, cause), _)| (*cause == Cause::BudgetOut) == out)
+                    .filter(|(kind, _)| (kind.cause == Cause::BudgetOut) == out)
                     .map(|(_, c)| c.calls)
                     .sum()
             };
--- a/crates/fawnrouter-lab/src/script.rs
+++ b/crates/fawnrouter-lab/src/script.rs
@@ -71,6 +71,10 @@
     #[serde(default = "cost")]
     #[schemars(range(min = 0.0, max = 1e9))]
     pub cost: f64,
+    /// One way between two zones, milliseconds.
+    #[serde(default)]
+    #[schemars(range(max = 1000))]
+    pub cross_ms: u64,
     /// Budgets.
     #[serde(default)]
     #[schemars(length(max = 100))]
--- a/crates/fawnrouter-lab/src/stand.rs
+++ b/crates/fawnrouter-lab/src/stand.rs
@@ -1,7 +1,7 @@
 //! A stand-in switch on a loopback socket: the processor with its connections.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -10,7 +10,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use fawnrouter_audit::{Seen, Side, Way};
-use fawnrouter_sip::{Chunk, Limits, StreamDecoder};
+use fawnrouter_sip::{Chunk, Limits, Message, StreamDecoder};
 use fawnrouterd::Outbox;
 use futures_lite::future;
 
@@ -20,6 +20,29 @@
 /// Bytes that wait for one gateway; more means a gateway that does not read.
 const BACKLOG: usize = 16 * 1024 * 1024;
 
+/// How far a stand-in is from gateways of other zones.
+#[derive(Clone, Debug, Default)]
+pub struct Distance {
+    /// Its zone.
+    pub zone: String,
+    /// The gateways' zones, in turn.
+    pub gateways: Vec<String>,
+    /// One way to another zone.
+    pub cross: Duration,
+}
+
+impl Distance {
+    /// Whether a request comes from another zone, by the gateway's host in its Via.
+    fn is_far(&self, message: &Message) -> bool {
+        let host = message.via().ok().map(|via| via.sent_by.to_owned()).unwrap_or_default();
+        let number =
+            host.strip_prefix("gw").and_then(|r| r.split('.').next()).and_then(|n| n.parse::<usize>().ok());
+        let zone =
+            number.filter(|_| !self.gateways.is_empty()).map(|n| &self.gateways[n % self.gateways.len()]);
+        !self.cross.is_zero() && zone.is_some_and(|zone| *zone != self.zone)
+    }
+}
+
 /// A switch in the lab.
 pub struct Stand {
     pub id: u32,
@@ -29,6 +52,11 @@
     executor: Rc<LocalExecutor<'static>>,
     processor: RefCell<Processor>,
     conns: RefCell<BTreeMap<u64, Rc<Outbox>>>,
+    distance: Distance,
+    /// Connections from other zones, and what is on its way from them and to them, in order of time.
+    far: RefCell<BTreeSet<u64>>,
+    coming: RefCell<VecDeque<(Duration, u64, Box<Message>)>>,
+    going: RefCell<VecDeque<(Duration, u64, Vec<u8>)>>,
     accepting: RefCell<Option<Task<()>>>,
     fallen: Cell<bool>,
 }
@@ -37,7 +65,7 @@
     /// Opens one on a free port. A cold one tells the auditor so.
     pub fn open(
         id: u32,
-        mut make: Make,
+        (mut make, distance): (Make, Distance),
         cold: bool,
         tap: &Rc<Tap>,
         executor: &Rc<LocalExecutor<'static>>,
@@ -54,6 +82,10 @@
             executor: executor.clone(),
             processor,
             conns: RefCell::default(),
+            distance,
+            far: RefCell::default(),
+            coming: RefCell::default(),
+            going: RefCell::default(),
             accepting: RefCell::new(None),
             fallen: Cell::new(false),
         });
@@ -87,6 +119,9 @@
             self.tap.closed(conn);
             outbox.kill();
         }
+        self.coming.borrow_mut().clear();
+        self.going.borrow_mut().clear();
+        self.far.borrow_mut().clear();
         self.processor.borrow_mut().silent = true;
     }
 
@@ -127,16 +162,35 @@
         *self.accepting.borrow_mut() = Some(task);
     }
 
+    fn send(&self, conn: u64, bytes: &[u8]) {
+        let outbox = self.conns.borrow().get(&conn).cloned();
+        if let Some(outbox) = outbox {
+            self.tap.bytes(conn, Way::In, bytes);
+            outbox.push(|out| out.extend_from_slice(bytes));
+        }
+    }
+
+    /// What was on its way between zones and has arrived.
+    fn arrive(&self, now: Duration, steps: &mut Vec<Step>) {
+        let first = |at: Option<Duration>| at.is_some_and(|at| at <= now);
+        while first(self.going.borrow().front().map(|g| g.0)) {
+            let Some((_, conn, bytes)) = self.going.borrow_mut().pop_front() else { break };
+            self.send(conn, &bytes);
+        }
+        while first(self.coming.borrow().front().map(|c| c.0)) {
+            let Some((_, conn, message)) = self.coming.borrow_mut().pop_front() else { break };
+            self.processor.borrow_mut().take(now, conn, message, steps);
+        }
+    }
+
     fn carry_out(self: &Rc<Self>, steps: Vec<Step>) {
         for step in steps {
             match step {
-                Step::Send(conn, bytes) => {
-                    let outbox = self.conns.borrow().get(&conn).cloned();
-                    if let Some(outbox) = outbox {
-                        self.tap.bytes(conn, Way::In, &bytes);
-                        outbox.push(|out| out.extend_from_slice(&bytes));
-                    }
+                Step::Send(conn, bytes) if self.far.borrow().contains(&conn) => {
+                    let due = self.tap.now() + self.distance.cross;
+                    self.going.borrow_mut().push_back((due, conn, bytes));
                 }
+                Step::Send(conn, bytes) => self.send(conn, &bytes),
                 Step::Fallen => {
                     self.fallen.set(true);
                     self.stop();
@@ -162,7 +216,15 @@
             while let Ok(Some(chunk)) = decoder.next_chunk() {
                 if let Chunk::Message(message) = chunk {
                     let now = stand.tap.now();
-                    stand.processor.borrow_mut().take(now, conn, message, &mut steps);
+                    if stand.distance.is_far(&message) {
+                        stand.far.borrow_mut().insert(conn);
+                    }
+                    if stand.far.borrow().contains(&conn) {
+                        let due = now + stand.distance.cross;
+                        stand.coming.borrow_mut().push_back((due, conn, message));
+                    } else {
+                        stand.processor.borrow_mut().take(now, conn, message, &mut steps);
+                    }
                 }
             }
             stand.carry_out(steps);
@@ -186,6 +248,7 @@
         let wait = due.map_or(Duration::from_millis(2), |d| d.saturating_sub(now));
         Timer::after(wait.min(Duration::from_millis(2))).await;
         let mut steps = Vec::new();
+        stand.arrive(stand.tap.now(), &mut steps);
         stand.processor.borrow_mut().pass(stand.tap.now(), &mut steps);
         stand.carry_out(steps);
     }
--- a/crates/fawnrouter-zones/examples/fleet.rs
+++ b/crates/fawnrouter-zones/examples/fleet.rs
@@ -70,6 +70,22 @@
 }
 
 fn main() {
+    println!(
+        "uneven gateways (the busiest with ten times the calls of the least busy), two of five switches restart:"
+    );
+    for gateways in [60u32, 250] {
+        for budget in [60u64, 300, 600] {
+            for policy in [Policy::Budgeted, Policy::Talking] {
+                let plan = Plan { struck: 2, calls: 360.0, skew: 9.0, budget, ..Plan::new(gateways, policy) };
+                let got = run(&plan);
+                let (service, spilled, most) = (got.service(), got.spilled(), got.most_a_minute());
+                println!(
+                    "{gateways:>8}  budget {budget:>4} {policy:?}: service {service:.3}, {spilled} spilled, {most} in a \
+                     minute at the most"
+                );
+            }
+        }
+    }
     println!(
         "gateways  day                policy       service  check  transfer  spilled  most/min  budget  last spill s"
     );
--- a/crates/fawnrouter-zones/src/account.rs
+++ b/crates/fawnrouter-zones/src/account.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::{Budget, BudgetError, Money, Span, share_of};
+use crate::grants::{Word, spare};
 
 /// What was spent of a budget in a window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +18,12 @@
     pub spent: (u64, Money),
     /// Calls and money carried over into it.
     pub carried: (u64, Money),
+    /// Calls and money given to other gateways in it.
+    #[serde(default)]
+    pub given: (u64, Money),
+    /// Calls and money got from other gateways in it.
+    #[serde(default)]
+    pub got: (u64, Money),
 }
 
 /// The account as it is kept over a restart, a state for each budget in the settings' order, with what tells whether
@@ -29,6 +36,9 @@
     pub budgets: Vec<Budget>,
     /// The states.
     pub lines: Vec<LineState>,
+    /// The last grant heard of each other gateway.
+    #[serde(default)]
+    pub heard: Vec<(u32, u64)>,
 }
 
 /// A budget, what was spent of this gateway's share of it, and that share.
@@ -70,6 +80,8 @@
     wanted_per_s: f64,
     wanted_at: Duration,
     price: f64,
+    /// Grants of this window are not taken.
+    deaf: Option<u64>,
 }
 
 /// The price moves at most once in this time.
@@ -107,23 +119,25 @@
         // What was left of the window before last is gone: carry-over is for one window.
         let next = window == self.state.window + 1;
         let carried = if next {
-            let (spent, carried) = (self.state.spent, self.state.carried);
-            let calls = calls.map_or(0, |share| keep(share, carried.0, spent.0));
-            let money = money.map_or(0, |share| keep(share.0, carried.1.0, spent.1.0));
+            let LineState { spent, carried, given, got, .. } = self.state;
+            let calls = calls.map_or(0, |share| keep(share, carried.0 + got.0, spent.0 + given.0));
+            let money = money.map_or(0, |m| keep(m.0, carried.1.0 + got.1.0, spent.1.0 + given.1.0));
             (calls, Money(money))
         } else {
             let whole = |share: u64| (share as f64 * self.budget.carry) as u64;
             (calls.map_or(0, whole), Money(money.map_or(0, |m| whole(m.0))))
         };
-        self.state = LineState { window, spent: (0, Money(0)), carried };
+        self.state = LineState { window, carried, ..LineState::default() };
     }
 
     /// Calls and money that may be spent in this window, with a part of the emergency allowance.
     fn allowance(&self, me: u32, level: f64) -> (Option<u64>, Option<Money>) {
         let (calls, money) = self.share(me, self.state.window);
         let more = |share: u64| (share as f64 * self.budget.emergency * level.clamp(0.0, 1.0)) as u64;
-        let calls = calls.map(|n| n + self.state.carried.0 + more(n));
-        (calls, money.map(|m| Money(m.0 + self.state.carried.1.0 + more(m.0))))
+        let LineState { carried, given, got, .. } = self.state;
+        let calls = calls.map(|n| (n + carried.0 + got.0 + more(n)).saturating_sub(given.0));
+        let money = money.map(|m| (m.0 + carried.1.0 + got.1.0 + more(m.0)).saturating_sub(given.1.0));
+        (calls, money.map(Money))
     }
 
     fn fits(&self, me: u32, level: f64, cost: Money) -> bool {
@@ -142,19 +156,21 @@
         spent - (1.0 - left)
     }
 
+    /// Calls and money spent at the window's end, if things go on as they do.
+    fn expected(&self, now: Duration) -> (f64, f64) {
+        let more = self.wanted_per_s * self.budget.span.left(now).as_secs_f64();
+        let (calls, money) = self.state.spent;
+        let mean_cost = if calls == 0 { 0.0 } else { money.0 as f64 / calls as f64 };
+        (calls as f64 + more, money.0 as f64 + more * mean_cost)
+    }
+
     /// Spent at the window's end over what may be, if things go on as they do.
     fn forecast(&self, me: u32, level: f64, now: Duration) -> f64 {
-        let left = self.budget.span.left(now).as_secs_f64();
         let (calls, money) = self.allowance(me, level);
-        let more = self.wanted_per_s * left;
-        let mean_cost = match self.state.spent {
-            (0, _) => 0.0,
-            (calls, money) => money.0 as f64 / calls as f64,
-        };
+        let expected = self.expected(now);
         let ratio = |spent: f64, may: f64| spent / may.max(1.0);
-        let by_calls = calls.map_or(0.0, |n| ratio(self.state.spent.0 as f64 + more, n as f64));
-        let by_money =
-            money.map_or(0.0, |m| ratio(self.state.spent.1.0 as f64 + more * mean_cost, m.0 as f64));
+        let by_calls = calls.map_or(0.0, |n| ratio(expected.0, n as f64));
+        let by_money = money.map_or(0.0, |m| ratio(expected.1, m.0 as f64));
         by_calls.max(by_money)
     }
 }
@@ -168,6 +184,10 @@
     /// Refused for want of budget, by zone.
     refused: BTreeMap<Arc<str>, u64>,
     priced: Duration,
+    /// The last grant made, and the last one heard of each gateway. Numbers begin at the time of the start, so that a
+    /// restart does not use one again.
+    next_grant: u64,
+    heard: BTreeMap<u32, u64>,
     now: Duration,
 }
 
@@ -184,14 +204,27 @@
             wanted_per_s: 0.0,
             wanted_at: Duration::ZERO,
             price: PRICE.0,
+            deaf: None,
         };
         let lines = budgets.into_iter().map(line).collect();
-        Ok(Self { from, me, lines, refused: BTreeMap::new(), priced: Duration::ZERO, now: Duration::ZERO })
+        Ok(Self {
+            from,
+            me,
+            lines,
+            refused: BTreeMap::new(),
+            priced: Duration::ZERO,
+            next_grant: 0,
+            heard: BTreeMap::new(),
+            now: Duration::ZERO,
+        })
     }
 
     fn advance(&mut self, now: Duration) {
         let first = self.now.is_zero();
         self.now = self.now.max(now);
+        if first {
+            self.next_grant = u64::try_from(self.now.as_nanos()).unwrap_or(0);
+        }
         for line in &mut self.lines {
             if first && line.state.window == 0 {
                 // A gateway that has just begun has saved nothing up.
@@ -294,6 +327,59 @@
         covering.map(part).fold(1.0, f64::min)
     }
 
+    /// What this gateway says to others of its zone now: each budget that it will want more of than it has. Whom it says
+    /// it to, and how often, is its embedder's to settle.
+    pub fn needs(&mut self, now: Duration) -> Vec<Word> {
+        self.advance(now);
+        let me = self.me;
+        let word = |(n, line): (usize, &Line)| {
+            let (calls, money) = line.allowance(me, 0.0);
+            let expected = line.expected(self.now);
+            let lacks = |may: u64, expected: f64| (expected.ceil() as u64).saturating_sub(may);
+            let calls = calls.map_or(0, |n| lacks(n, expected.0));
+            let money = Money(money.map_or(0, |m| lacks(m.0, expected.1)));
+            let wanted = calls > 0 || money.0 > 0;
+            let (line, window) = (u16::try_from(n).ok()?, line.state.window);
+            wanted.then_some(Word::Need { line, window, calls, money })
+        };
+        self.lines.iter().enumerate().filter_map(word).collect()
+    }
+
+    /// Another gateway of the zone has said something: what is answered, if anything. What it says of a window that is
+    /// over, or not begun here, changes nothing.
+    pub fn hear(&mut self, now: Duration, from: u32, word: &Word) -> Option<Word> {
+        self.advance(now);
+        let (me, now) = (self.me, self.now);
+        match *word {
+            Word::Need { line: n, window, calls, money } => {
+                let line = self.lines.get_mut(usize::from(n)).filter(|l| l.state.window == window)?;
+                let (may_calls, may_money) = line.allowance(me, 0.0);
+                let expected = line.expected(now);
+                let spent = line.state.spent;
+                let calls = may_calls.map_or(0, |may| spare(may, expected.0, spent.0, calls));
+                let money = Money(may_money.map_or(0, |may| spare(may.0, expected.1, spent.1.0, money.0)));
+                if calls == 0 && money.0 == 0 {
+                    return None;
+                }
+                // Taken off before it is said.
+                line.state.given = (line.state.given.0 + calls, Money(line.state.given.1.0 + money.0));
+                self.next_grant += 1;
+                Some(Word::Grant { line: n, window, id: self.next_grant, calls, money })
+            }
+            Word::Grant { line: n, window, id, calls, money } => {
+                let last = self.heard.entry(from).or_default();
+                let line = self.lines.get_mut(usize::from(n)).filter(|l| l.state.window == window)?;
+                // One that was overtaken by a later one is lost with those that never came.
+                if id <= *last || line.deaf == Some(window) {
+                    return None;
+                }
+                *last = id;
+                line.state.got = (line.state.got.0 + calls, Money(line.state.got.1.0 + money.0));
+                None
+            }
+        }
+    }
+
     /// Each budget with what was spent of this gateway's share, and that share now.
     #[must_use]
     pub fn lines(&self) -> Vec<LineView> {
@@ -314,6 +400,7 @@
             at_ns: u64::try_from(self.now.as_nanos()).unwrap_or(u64::MAX),
             budgets: self.lines.iter().map(|l| l.budget.clone()).collect(),
             lines: self.lines.iter().map(|l| l.state).collect(),
+            heard: self.heard.iter().map(|(from, id)| (*from, *id)).collect(),
         }
     }
 
@@ -324,6 +411,7 @@
         self.advance(now.max(saved.map_or(Duration::ZERO, |s| Duration::from_nanos(s.at_ns))));
         let known: Vec<(&Budget, &LineState)> =
             saved.map(|s| s.budgets.iter().zip(&s.lines).collect()).unwrap_or_default();
+        self.heard = saved.map(|s| s.heard.iter().copied().collect()).unwrap_or_default();
         for line in &mut self.lines {
             let same = known.iter().find(|(budget, _)| **budget == line.budget);
             match same {
@@ -335,6 +423,8 @@
                     let (calls, money) = line.share(self.me, line.state.window);
                     line.state.spent = (calls.unwrap_or(0), money.unwrap_or_default());
                     line.state.carried = (0, Money(0));
+                    // Which grants of this window were heard, and spent, is not known either.
+                    line.deaf = Some(line.state.window);
                 }
             }
         }
--- a/crates/fawnrouter-zones/src/lib.rs
+++ b/crates/fawnrouter-zones/src/lib.rs
@@ -7,18 +7,21 @@
 //! | --- | --- |
 //! | `budget` | what may be spent in a window, this gateway's share of it, carry-over |
 //! | `account` | what was spent, refunds, forecasts, the price of a spill |
+//! | `grants` | shares that follow demand, where gateways may talk |
 //! | `health` | whether the own zone is calm, pressed or down, with hysteresis |
 //! | `zones` | the voice: what a call is worth there against what it costs |
 //! | `record` | what spilled, by class, zone and cause, minute by minute |
 
 mod account;
 mod budget;
+mod grants;
 mod health;
 mod record;
 mod zones;
 
 pub use account::{Account, Charge, Exhausted, LineState, LineView, Saved};
 pub use budget::{Budget, BudgetError, Limit, Money, Span, share_of};
+pub use grants::Word;
 pub use health::{Health, HealthSettings, State};
-pub use record::{Cause, Cell, Minute, Record};
+pub use record::{Cause, Cell, Kind, Minute, Record};
 pub use zones::{Cost, Shared, ZoneSettings, Zones};
--- a/crates/fawnrouter-zones/src/zones.rs
+++ b/crates/fawnrouter-zones/src/zones.rs
@@ -13,7 +13,7 @@
 use crate::account::{Account, Charge, Saved};
 use crate::budget::{Budget, BudgetError, Money};
 use crate::health::{Health, HealthSettings, State};
-use crate::record::{Cause, Minute, Record};
+use crate::record::{Cause, Kind, Minute, Record};
 
 /// What a call to another zone costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,9 +51,8 @@
 
 #[derive(Debug)]
 struct Out {
-    class: u32,
+    kind: Kind,
     charge: Charge,
-    cause: Cause,
     at: Time,
 }
 
@@ -108,6 +107,11 @@
         &self.account
     }
 
+    /// The account, to let it talk with those of other gateways.
+    pub const fn account_mut(&mut self) -> &mut Account {
+        &mut self.account
+    }
+
     /// What spilled.
     #[must_use]
     pub const fn record(&self) -> &Record {
@@ -151,6 +155,11 @@
     }
 }
 
+fn kind(wanted: &Wanted, server: &ServerEntry, cause: Cause) -> Kind {
+    let class = wanted.class.and_then(|c| u32::try_from(c.0).ok()).unwrap_or(u32::MAX);
+    Kind { class, to: server.zone.clone(), trunk_group: server.cell.0, cause }
+}
+
 impl Voice for Zones {
     fn observe(&mut self, now: Time, servers: &mut dyn Iterator<Item = Seen<'_>>) {
         self.now = self.now.max(now);
@@ -186,8 +195,7 @@
         if !self.account.affords(now.0, &server.zone, cost, level) {
             // Once a call, however often it draws.
             if self.passed_over.len() < MOST_OUT && self.passed_over.insert(wanted.call) {
-                let class = wanted.class.map_or(u32::MAX, |c| c.0 as u32);
-                self.record.count(now.0, class, &server.zone, Cause::BudgetOut, Money(0));
+                self.record.count(now.0, &kind(wanted, server, Cause::BudgetOut), Money(0));
             }
             return 0.0;
         }
@@ -206,13 +214,13 @@
             Cost::Money(cost) => (cost, self.cause()),
             Cost::Forbidden => return,
         };
-        let class = wanted.class.map_or(u32::MAX, |c| c.0 as u32);
         // Weighed in the same instant, so that it still fits; a charge that does not is a breach of the budget and
         // would show in the record against the account.
         if let Ok(charge) = self.account.charge(now.0, &server.zone, cost, self.health.level()) {
-            self.record.count(now.0, class, &server.zone, cause, cost);
+            let kind = kind(wanted, server, cause);
+            self.record.count(now.0, &kind, cost);
             if self.out.len() < MOST_OUT {
-                self.out.insert(wanted.call, Out { class, charge, cause, at: now });
+                self.out.insert(wanted.call, Out { kind, charge, at: now });
             }
         }
     }
@@ -223,7 +231,7 @@
         let now = self.now;
         let Some(out) = self.out.remove(&call).filter(|_| !stood) else { return };
         self.account.refund(now.0, &out.charge);
-        self.record.take_back(out.at.0, out.class, out.charge.to(), out.cause, out.charge.cost());
+        self.record.take_back(out.at.0, &out.kind, out.charge.cost());
     }
 }
 
--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -719,9 +719,9 @@
         true
     }
 
-    /// The voice's part in the choice (none: nothing changes): a server that it does not want now is not open to
-    /// the call, which is held on. Guards against calls that cross into dear zones without need. Could do harm
-    /// where it wants nobody for long: such calls are refused by their time.
+    /// The voice's part in the choice (none: nothing changes): a server that it does not want now is not open
+    /// to the call, which is held on. Guards against calls that cross into dear zones without need. Could do
+    /// harm where it wants nobody for long: such calls are refused by their time.
     fn hear(&mut self, now: Time, id: CallId, open: &mut Vec<ServerId>) -> BTreeMap<ServerId, f64> {
         let mut say = BTreeMap::new();
         let (Some(voice), Some(c)) = (&mut self.voice, self.calls.get(&id)) else { return say };
--- a/crates/fawnrouterd/src/cli.rs
+++ b/crates/fawnrouterd/src/cli.rs
@@ -38,7 +38,8 @@
     },
     /// Print the JSON schema of the settings.
     Schema,
-    /// Ask a running gateway who holds what and who is refused, or block or free an address.
+    /// Ask a running gateway who holds what, who is refused or what crosses zones; block or free an address.
+    #[command(name = "admission", alias = "ask")]
     Admission {
         /// The running gateway's settings, YAML; `control.socket` in them says where it listens.
         #[arg(long)]
@@ -102,6 +103,8 @@
 pub enum Ask {
     /// Who holds what, who is refused and why.
     Show,
+    /// How the own zone fares, and what is left of the budgets across zones.
+    Zones,
     /// Take no connection of an address for a time.
     Block {
         /// The address.
@@ -212,6 +215,7 @@
 fn admission(socket: &Path, wanted: Ask, json: bool) -> ExitCode {
     let command = match wanted {
         Ask::Show => control::Command::Show,
+        Ask::Zones => control::Command::Zones,
         Ask::Block { address, for_s } => control::Command::Block { address, for_s },
         Ask::Free { address } => control::Command::Free { address },
     };
@@ -235,6 +239,17 @@
             print!("{shown}");
             ExitCode::SUCCESS
         }
+        Ok(Reply::Zones(zones)) if json => match serde_json::to_string_pretty(&zones) {
+            Ok(text) => {
+                println!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(error) => wrong(&error),
+        },
+        Ok(Reply::Zones(zones)) => {
+            print!("{zones}");
+            ExitCode::SUCCESS
+        }
         Ok(Reply::Done) => {
             println!("done");
             ExitCode::SUCCESS
--- a/crates/fawnrouterd/src/control.rs
+++ b/crates/fawnrouterd/src/control.rs
@@ -33,6 +33,8 @@
 pub enum Command {
     /// Who holds what, who is refused and why.
     Show,
+    /// How the own zone fares, and what is left of the budgets.
+    Zones,
     /// No connections of an address for a time.
     Block {
         /// The address.
@@ -99,12 +101,40 @@
     pub blocked: Vec<(IpAddr, u64)>,
 }
 
+/// A budget as this gateway has it now.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BudgetShown {
+    /// Where calls go; none: all other zones.
+    pub to: Option<String>,
+    /// `Minute`, `Hour` or `Day`.
+    pub window: String,
+    /// Calls spent, and this gateway's share.
+    pub calls: (u64, Option<u64>),
+    /// Cost spent, and this gateway's share.
+    pub cost: (f64, Option<f64>),
+}
+
+/// Traffic across zones now.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ZonesShown {
+    /// The own zone.
+    pub own: String,
+    /// `Calm`, `Pressed` or `Down`.
+    pub state: String,
+    /// The budgets.
+    pub budgets: Vec<BudgetShown>,
+    /// Calls since the start by zone and cause, with their cost.
+    pub went: Vec<(String, String, u64, f64)>,
+}
+
 /// The gateway's answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Reply {
     /// What was asked to be shown.
     Shown(Box<Shown>),
+    /// Traffic across zones.
+    Zones(Box<ZonesShown>),
     /// It is done.
     Done,
     /// It cannot be done, and why.
@@ -176,6 +206,12 @@
     if matches!(command, Command::Show) {
         return Reply::Shown(Box::new(show(core)));
     }
+    if matches!(command, Command::Zones) {
+        return match zones(core) {
+            Some(shown) => Reply::Zones(Box::new(shown)),
+            None => Reply::Failed("zones are off; add a section `zones` to the settings".into()),
+        };
+    }
     let mut door = core.door.borrow_mut();
     let Some(admission) = &mut door.admission else {
         return Reply::Failed("admission is off; add a section `admission` to the settings".into());
@@ -191,11 +227,37 @@
             admission.free(*address);
             tracing::warn!(%address, "address freed by an operator");
         }
-        Command::Show => {}
+        Command::Show | Command::Zones => {}
     }
     Reply::Done
 }
 
+fn zones(core: &Core) -> Option<ZonesShown> {
+    let own = core.settings.zones.as_ref()?.own.clone();
+    let look = |z: &mut fawnrouter_engine::zones::Zones| {
+        let budgets = z.account().lines().into_iter().map(|(budget, state, (calls, money))| BudgetShown {
+            to: budget.to.as_deref().map(str::to_owned),
+            window: format!("{:?}", budget.span),
+            calls: (state.spent.0, calls),
+            cost: (state.spent.1.in_units(), money.map(|m| m.in_units())),
+        });
+        let mut went: BTreeMap<(String, String), (u64, f64)> = BTreeMap::new();
+        for (kind, cell) in z.record().total() {
+            let key = (kind.to.to_string(), crate::report::text(kind.cause).to_owned());
+            let sum = went.entry(key).or_default();
+            *sum = (sum.0 + cell.calls, sum.1 + cell.money.in_units());
+        }
+        let went = went.into_iter().map(|((to, cause), (calls, cost))| (to, cause, calls, cost));
+        ZonesShown {
+            own,
+            state: format!("{:?}", z.state()),
+            budgets: budgets.collect(),
+            went: went.collect(),
+        }
+    };
+    core.with_engine(|engine| engine.zones().map(|zones| zones.with(look)))
+}
+
 fn show(core: &Core) -> Shown {
     let (door, ledger) = (core.door.borrow(), core.ledger.borrow());
     let Snapshot { open, handshakes, known, reserve, refused, evicted, addresses, clients, blocked } =
@@ -292,3 +354,26 @@
         Ok(())
     }
 }
+
+impl std::fmt::Display for ZonesShown {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "zone {}: {}", self.own, self.state.to_lowercase())?;
+        for b in &self.budgets {
+            let to = b.to.as_deref().unwrap_or("all others");
+            let share = |n: Option<String>| n.unwrap_or_else(|| "any".into());
+            writeln!(
+                f,
+                "budget a {:<7} to {to:<16} {} of {} calls, {:.2} of {} cost spent here",
+                b.window.to_lowercase(),
+                b.calls.0,
+                share(b.calls.1.map(|n| n.to_string())),
+                b.cost.0,
+                share(b.cost.1.map(|x| format!("{x:.2}")))
+            )?;
+        }
+        for (to, cause, calls, cost) in &self.went {
+            writeln!(f, "{calls:>8} calls, {cost:>10.2} cost, to {to}: {cause}")?;
+        }
+        Ok(())
+    }
+}
