One piece for what the account, the engine and the command line wrote twice; dead pieces gone

Need: on re-reading the change, the fading of a mean, the part of a budget that is spent, the 503 to a call that is not taken and the printing of JSON each stood twice or three times; a count, a number, a field and an accessor had no use.

Change: each is one function now; behaviour is as it was.

--- a/crates/fawnrouter-engine/src/caller.rs
+++ b/crates/fawnrouter-engine/src/caller.rs
@@ -9,7 +9,7 @@
 use rand_core::RngCore;
 
 use crate::engine::Engine;
-use crate::gate::{Passage, Waiting};
+use crate::gate::Passage;
 use crate::intake::Load;
 use crate::interface::{CallWord, ClientId, Output};
 use crate::status::{Answer, whole_seconds};
@@ -87,6 +87,15 @@
         self.out.push(Output::ToClient { client, bytes });
     }
 
+    /// The answer to an INVITE of which no call is made.
+    fn not_taken(&mut self, client: ClientId, invite: &Message, why: &str, wait: Duration) {
+        self.counters.not_taken += 1;
+        let wait = whole_seconds(wait).max(1).to_string();
+        let reason = format!("SIP;cause=503;text=\"{why}\"");
+        let extra = [(Name::RetryAfter, wait.as_str()), (Name::Reason, reason.as_str())];
+        self.respond(client, invite, 503, None, &extra);
+    }
+
     fn on_invite(&mut self, client: ClientId, invite: Box<Message>) {
         let branch = invite.via().ok().and_then(|v| v.branch()).unwrap_or("").to_owned();
         // A repeat of a known INVITE: its answer is out or will come (§17.2.1).
@@ -109,11 +118,7 @@
         let of_client = self.table.clients.get(&client).map_or(0, |c| c.calls.len());
         let load = Load { calls: self.table.live(), pending: self.pending, of_client };
         if let Err((refusal, wait)) = self.intake.judge(load) {
-            self.counters.not_taken += 1;
-            let wait = whole_seconds(wait).max(1).to_string();
-            let reason = format!("SIP;cause=503;text=\"{}\"", refusal.text());
-            let extra = [(Name::RetryAfter, wait.as_str()), (Name::Reason, reason.as_str())];
-            return self.respond(client, &invite, 503, None, &extra);
+            return self.not_taken(client, &invite, refusal.text(), wait);
         }
         let seen = self.settings.rules.classify(&invite, &uri);
         let class = seen.class.and_then(|c| self.settings.decisions.classes.get(c.0));
@@ -125,11 +130,7 @@
         let id = self.new_call_id();
         let turn = self.judge_set_up(client, id);
         if let Turn::Refuse { why, retry_after } = turn {
-            self.counters.not_taken += 1;
-            let wait = whole_seconds(retry_after).max(1).to_string();
-            let reason = format!("SIP;cause=503;text=\"{}\"", why.text());
-            let extra = [(Name::RetryAfter, wait.as_str()), (Name::Reason, reason.as_str())];
-            return self.respond(client, &invite, 503, None, &extra);
+            return self.not_taken(client, &invite, why.text(), retry_after);
         }
         let session = session_of(&invite)
             .unwrap_or_else(|| format!("{:016x}{:016x}", self.rng.next_u64(), self.rng.next_u64()));
@@ -175,7 +176,7 @@
             let wait = self.set_ups().map_or(left, SetUps::wait).min(left);
             self.table.due.set(Key::Call(id), self.now.plus(wait));
             if let Some(call) = self.table.calls.get_mut(&id) {
-                call.waits = Some(Waiting { call: new });
+                call.waits = Some(new);
             }
             return;
         }
--- a/crates/fawnrouter-engine/src/gate.rs
+++ b/crates/fawnrouter-engine/src/gate.rs
@@ -46,12 +46,6 @@
     pub limits: ClientLimits,
 }
 
-/// A set-up that has not reached the controller.
-#[derive(Clone, Debug)]
-pub(crate) struct Waiting {
-    pub call: NewCall,
-}
-
 /// What a connection has shown of itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
@@ -220,8 +214,8 @@
         let now = self.now.0;
         while let Some(id) = self.gate.set_ups.as_mut().and_then(|s| s.next(now)) {
             let waiting = self.table.calls.get_mut(&CallId(id)).and_then(|c| c.waits.take());
-            if let Some(waiting) = waiting {
-                self.hand_over(waiting.call);
+            if let Some(call) = waiting {
+                self.hand_over(call);
                 self.run();
             }
         }
--- a/crates/fawnrouter-engine/src/table.rs
+++ b/crates/fawnrouter-engine/src/table.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fawnrouter::{AttemptNo, CallId, Note, ServerId, Time, TimerId};
+use fawnrouter::{AttemptNo, CallId, NewCall, Note, ServerId, Time, TimerId};
 use fawnrouter_sip::transaction::{InviteClient, InviteServer};
 use fawnrouter_sip::{Dialog, Message};
 
 use crate::backoff::Backoff;
-use crate::gate::{Identity, Waiting};
+use crate::gate::Identity;
 use crate::interface::{ClientId, Switch};
 
 /// An attempt's leg to a switch.
@@ -52,8 +52,8 @@
     pub began: Time,
     /// When its caller's time is up.
     pub due: Time,
-    /// Its turn has not come.
-    pub waits: Option<Waiting>,
+    /// What the controller will be told of it when its turn has come.
+    pub waits: Option<NewCall>,
     pub out: Option<LegId>,
     pub attempts: u32,
     /// The last final response of a switch.
--- a/crates/fawnrouter-zones/src/account.rs
+++ b/crates/fawnrouter-zones/src/account.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::budget::{Budget, BudgetError, Money, Span, share_of};
+use crate::budget::{Budget, BudgetError, Money, share_of};
 use crate::grants::{Word, spare};
 
 /// What was spent of a budget in a window.
@@ -52,19 +52,12 @@
 /// What a spill was charged, to be able to give it back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Charge {
-    to: Arc<str>,
     cost: Money,
     /// The windows of the lines that it was charged to.
     windows: Vec<(usize, u64)>,
 }
 
 impl Charge {
-    /// Where the call went.
-    #[must_use]
-    pub fn to(&self) -> &Arc<str> {
-        &self.to
-    }
-
     /// What it cost.
     #[must_use]
     pub const fn cost(&self) -> Money {
@@ -112,10 +105,9 @@
             return;
         }
         let (calls, money) = self.share(me, self.state.window);
-        let keep = |share: u64, carried: u64, spent: u64| {
-            let most = (share as f64 * self.budget.carry) as u64;
-            (share + carried).saturating_sub(spent).min(most)
-        };
+        let most = |share: u64| (share as f64 * self.budget.carry) as u64;
+        let keep =
+            |share: u64, carried: u64, spent: u64| (share + carried).saturating_sub(spent).min(most(share));
         // What was left of the window before last is gone: carry-over is for one window.
         let next = window == self.state.window + 1;
         let carried = if next {
@@ -124,8 +116,7 @@
             let money = money.map_or(0, |m| keep(m.0, carried.1.0 + got.1.0, spent.1.0 + given.1.0));
             (calls, Money(money))
         } else {
-            let whole = |share: u64| (share as f64 * self.budget.carry) as u64;
-            (calls.map_or(0, whole), Money(money.map_or(0, |m| whole(m.0))))
+            (calls.map_or(0, most), Money(money.map_or(0, |m| most(m.0))))
         };
         self.state = LineState { window, carried, ..LineState::default() };
     }
@@ -146,14 +137,27 @@
             && money.is_none_or(|m| self.state.spent.1.0.saturating_add(cost.0) <= m.0)
     }
 
-    /// How far spending is ahead of the window's time, as a share of what may be spent.
-    fn ahead(&self, me: u32, level: f64, now: Duration) -> f64 {
+    /// What is spent as a share of what may be, of calls or money whichever is scarcer.
+    fn part_spent(&self, me: u32, level: f64) -> f64 {
         let (calls, money) = self.allowance(me, level);
         let part = |spent: u64, may: u64| spent as f64 / (may as f64).max(1.0);
-        let spent = calls.map_or(0.0, |n| part(self.state.spent.0, n));
-        let spent = spent.max(money.map_or(0.0, |m| part(self.state.spent.1.0, m.0)));
+        let by_calls = calls.map_or(0.0, |n| part(self.state.spent.0, n));
+        by_calls.max(money.map_or(0.0, |m| part(self.state.spent.1.0, m.0)))
+    }
+
+    /// Lets the mean of what is wanted forget what has passed; returns the time constant, seconds.
+    fn forget(&mut self, now: Duration) -> f64 {
+        let forget = (self.budget.span.length().as_secs_f64() * FORGET_SHARE).max(10.0);
+        let passed = now.saturating_sub(self.wanted_at).as_secs_f64();
+        self.wanted_per_s *= (-passed / forget).exp();
+        self.wanted_at = now;
+        forget
+    }
+
+    /// How far spending is ahead of the window's time, as a share of what may be spent.
+    fn ahead(&self, me: u32, level: f64, now: Duration) -> f64 {
         let left = self.budget.span.left(now).as_secs_f64() / self.budget.span.length().as_secs_f64();
-        spent - (1.0 - left)
+        self.part_spent(me, level) - (1.0 - left)
     }
 
     /// Calls and money spent at the window's end, if things go on as they do.
@@ -247,10 +251,8 @@
         self.advance(now);
         let now = self.now;
         for line in self.lines.iter_mut().filter(|l| l.budget.covers(&self.from, to)) {
-            let forget = (line.budget.span.length().as_secs_f64() * FORGET_SHARE).max(10.0);
-            let passed = now.saturating_sub(line.wanted_at).as_secs_f64();
-            line.wanted_per_s = line.wanted_per_s * (-passed / forget).exp() + 1.0 / forget;
-            line.wanted_at = now;
+            let forget = line.forget(now);
+            line.wanted_per_s += 1.0 / forget;
         }
     }
 
@@ -275,7 +277,7 @@
             line.state.spent.1 = Money(line.state.spent.1.0.saturating_add(cost.0));
             windows.push((n, line.state.window));
         }
-        Ok(Charge { to: to.clone(), cost, windows })
+        Ok(Charge { cost, windows })
     }
 
     /// Gives back what a set-up was charged that did not stand. What belongs to a window that is over stays spent:
@@ -298,10 +300,7 @@
         if now.saturating_sub(self.priced) >= PRICE_STEP {
             self.priced = now;
             for line in &mut self.lines {
-                let forget = (line.budget.span.length().as_secs_f64() * FORGET_SHARE).max(10.0);
-                let passed = now.saturating_sub(line.wanted_at).as_secs_f64();
-                line.wanted_per_s *= (-passed / forget).exp();
-                line.wanted_at = now;
+                line.forget(now);
                 let over = (line.forecast(self.me, level, now) - 1.0).clamp(-1.0, 1.0);
                 line.price = (line.price * (PRICE_GAIN * over).exp()).clamp(PRICE.0, PRICE.1);
             }
@@ -317,14 +316,8 @@
     /// The part of the scarcest budget that is left in this window, 0 to 1.
     pub fn left(&mut self, now: Duration, to: &str, level: f64) -> f64 {
         self.advance(now);
-        let part = |l: &Line| {
-            let (calls, money) = l.allowance(self.me, level);
-            let left = |spent: u64, may: u64| 1.0 - (spent as f64 / (may as f64).max(1.0)).min(1.0);
-            let calls = calls.map_or(1.0, |n| left(l.state.spent.0, n));
-            calls.min(money.map_or(1.0, |m| left(l.state.spent.1.0, m.0)))
-        };
         let covering = self.lines.iter().filter(|l| l.budget.covers(&self.from, to));
-        covering.map(part).fold(1.0, f64::min)
+        1.0 - covering.map(|l| l.part_spent(self.me, level)).fold(0.0, f64::max).min(1.0)
     }
 
     /// What this gateway says to others of its zone now: each budget that it will want more of than it has. Whom it says
@@ -429,10 +422,4 @@
             }
         }
     }
-
-    /// The windows that budgets have.
-    #[must_use]
-    pub fn spans(&self) -> Vec<Span> {
-        self.lines.iter().map(|l| l.budget.span).collect()
-    }
 }
--- a/crates/fawnrouter-zones/src/health.rs
+++ b/crates/fawnrouter-zones/src/health.rs
@@ -92,11 +92,10 @@
     pub fn observe<'a>(&mut self, now: Duration, servers: impl Iterator<Item = Seen<'a>>) {
         let now = now.max(self.at);
         let passed = now.saturating_sub(self.at);
-        let (mut ready, mut well, mut f) = (0usize, 0usize, 0.0);
+        let (mut well, mut f) = (0usize, 0.0);
         for server in servers {
             if server.ready {
                 self.listed.insert(server.entry.id, now);
-                ready += 1;
                 well += usize::from(server.well);
                 f += if server.well { server.fraction } else { 0.0 };
             }
@@ -112,7 +111,6 @@
             self.pressure = 1.0 - f / all as f64;
             self.well = well as f64 / all as f64;
         }
-        let _ = ready;
         self.decide(now);
         let wanted = if self.state == State::Down { 1.0 } else { 0.0 };
         let step = passed.as_secs_f64() / self.settings.close.as_secs_f64().max(1e-3);
--- a/crates/fawnrouterd/src/cli.rs
+++ b/crates/fawnrouterd/src/cli.rs
@@ -166,13 +166,7 @@
             }
         }
         Command::Secret { name, realm, md5 } => secret(&name, &realm, md5),
-        Command::Schema => match serde_json::to_string_pretty(&fawnrouter_config::schema()) {
-            Ok(text) => {
-                println!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(error) => wrong(&error),
-        },
+        Command::Schema => print_json(&fawnrouter_config::schema()),
     }
 }
 
@@ -228,24 +222,12 @@
             eprintln!("{why}");
             ExitCode::FAILURE
         }
-        Ok(Reply::Shown(shown)) if json => match serde_json::to_string_pretty(&shown) {
-            Ok(text) => {
-                println!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(error) => wrong(&error),
-        },
+        Ok(Reply::Shown(shown)) if json => print_json(&shown),
         Ok(Reply::Shown(shown)) => {
             print!("{shown}");
             ExitCode::SUCCESS
         }
-        Ok(Reply::Zones(zones)) if json => match serde_json::to_string_pretty(&zones) {
-            Ok(text) => {
-                println!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(error) => wrong(&error),
-        },
+        Ok(Reply::Zones(zones)) if json => print_json(&zones),
         Ok(Reply::Zones(zones)) => {
             print!("{zones}");
             ExitCode::SUCCESS
@@ -305,6 +287,16 @@
     ExitCode::SUCCESS
 }
 
+fn print_json(value: &impl serde::Serialize) -> ExitCode {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => wrong(&error),
+    }
+}
+
 fn wrong(error: &dyn std::fmt::Display) -> ExitCode {
     eprintln!("{error}");
     ExitCode::from(2)
--- a/crates/fawnrouterd/src/door.rs
+++ b/crates/fawnrouterd/src/door.rs
@@ -55,8 +55,7 @@
     pub admission: Option<Admission>,
     pub descriptors: Descriptors,
     /// Those that are being told that they do not get in, the first one first.
-    refusing: VecDeque<(u64, Rc<Outbox>)>,
-    next_refused: u64,
+    refusing: VecDeque<Rc<Outbox>>,
     /// Without admission: connections in all, and the time to stay away.
     connections: usize,
     retry_after: Duration,
@@ -78,7 +77,6 @@
             connections: descriptors.divide(connections, connections / 4 + 16).0,
             descriptors,
             refusing: VecDeque::new(),
-            next_refused: 0,
             retry_after,
             spread: Spread::new(0),
             refused: BTreeMap::new(),
@@ -130,12 +128,11 @@
             }
             Err((reason, wait)) => {
                 if self.descriptors.refuse(self.refusing.len()) == Place::RefuseAfterOldest
-                    && let Some((_, oldest)) = self.refusing.pop_front()
+                    && let Some(oldest) = self.refusing.pop_front()
                 {
                     oldest.kill();
                 }
-                self.next_refused += 1;
-                self.refusing.push_back((self.next_refused, outbox.clone()));
+                self.refusing.push_back(outbox.clone());
                 Entry::Out(reason, wait, outbox)
             }
         }
@@ -143,7 +140,7 @@
 
     /// One that was being refused has ended.
     pub fn refused(&mut self, outbox: &Rc<Outbox>) {
-        self.refusing.retain(|(_, other)| !Rc::ptr_eq(other, outbox));
+        self.refusing.retain(|other| !Rc::ptr_eq(other, outbox));
     }
 
     /// Whether what this peer says of where a connection comes from is believed.
