--- a/crates/fawnrouter-benchlink/src/main.rs
+++ b/crates/fawnrouter-benchlink/src/main.rs
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 
 use fawnrouter::{Controller, ListKind, ServerEntry, Time};
+use fawnrouter_bootinfo::Names;
 use serde_json::{Value, json};
-use translate::{Incoming, Names};
+use translate::Incoming;
 
 /// One gateway hosted here.
 struct Instance {
--- a/crates/fawnrouter-benchlink/src/translate.rs
+++ b/crates/fawnrouter-benchlink/src/translate.rs
@@ -1,18 +1,11 @@
 //! The wire's names and numbers, to and from the library's types.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use fawnrouter::*;
+use fawnrouter_bootinfo::Names;
 use serde_json::{Value, json};
 
-/// The names that calls of an instance may carry.
-pub struct Names {
-    classes: BTreeMap<String, ClassId>,
-    tenants: BTreeMap<String, TenantId>,
-    report: Vec<String>,
-}
-
 /// A wire event, as far as the adapter tells them apart.
 pub enum Incoming {
     Open { seed: u64, settings: Box<Settings>, names: Names },
@@ -72,7 +65,8 @@
     let started = || names.ok_or_else(|| "the gateway has not been started".to_owned());
     let event = match name {
         "openInstance" => {
-            let (settings, names) = settings(f.want(1, "bootInfo", |v| v.as_object().map(|_| v))?)?;
+            let (settings, names) =
+                fawnrouter_bootinfo::settings(f.want(1, "bootInfo", |v| v.as_object().map(|_| v))?)?;
             return Ok(Incoming::Open { seed: f.number(0, "prng")?, settings: Box::new(settings), names });
         }
         "shutdown" => return Ok(Incoming::Shutdown),
@@ -108,7 +102,7 @@
             outcome: outcome(f.number(4, "stateCode")?)?,
             note: note(whole(f.get(5)).unwrap_or(0)),
             attempt: f.small(6, "shot", AttemptNo)?,
-            report: report(f.get(7), started()?),
+            report: started()?.report(f.get(7)),
         },
         "lapsed" => Event::Lapsed(f.call(0)?),
         "timeoutFired" => {
@@ -120,7 +114,7 @@
             ok: f.number(0, "stateCode")? == 0,
             server: f.small(1, "switch", ServerId)?,
             took: Duration::from_nanos(whole(f.get(2)).unwrap_or(0)),
-            report: report(f.get(3), started()?),
+            report: started()?.report(f.get(3)),
         },
         "mail" => Event::Mail { from: f.small(0, "neighbour", PeerId)?, text: f.text(1, "raw")?.to_owned() },
         other => return Err(format!("unknown event {other}")),
@@ -129,7 +123,7 @@
 }
 
 fn new_call(f: &Fields<'_>, names: &Names) -> Result<NewCall> {
-    let class = names.classes.get(f.text(1, "tierClass")?).copied();
+    let class = names.class(f.text(1, "tierClass")?);
     let opts = whole(f.get(7)).unwrap_or(0);
     Ok(NewCall {
         id: f.call(0)?,
@@ -137,7 +131,7 @@
         left: f.span(2, "leftNs")?,
         number: f.get(3).as_str().unwrap_or("").into(),
         width: f.get(4).as_f64().unwrap_or(1.0),
-        tenant: f.get(6).as_str().and_then(|t| names.tenants.get(t)).copied(),
+        tenant: f.get(6).as_str().and_then(|t| names.tenant(t)),
         redialled: opts & 2 != 0,
         transit: opts & 8 != 0,
         destination: f.small(8, "terminatesAt", Cell)?,
@@ -187,129 +181,6 @@
     }
 }
 
-/// A load report: pairs of name and value, or the values in the order of the settings' names.
-fn report(load: &Value, names: &Names) -> Report {
-    let mut report = Report::default();
-    let mut set = |name: &str, value: &Value| {
-        let Some(x) = value.as_f64().filter(|x| x.is_finite() && *x >= 0.0) else { return };
-        match name {
-            "free" => report.free = Some(x),
-            "size" => report.size = Some(x),
-            "cpu_share" => report.utilisation = Some(x),
-            "svc_ms" => report.wait = Duration::try_from_secs_f64(x / 1e3).ok(),
-            "can_take" => report.can_take = Some(x),
-            "hold_back" => report.hold_back = Some(x),
-            _ => {}
-        }
-    };
-    match load {
-        Value::Object(pairs) => pairs.iter().for_each(|(name, value)| set(name, value)),
-        Value::Array(values) => names.report.iter().zip(values).for_each(|(name, value)| set(name, value)),
-        _ => {}
-    }
-    report
-}
-
-/// An optional setting; where it is present it must be of the right kind.
-fn optional<T>(at: &Value, key: &str, get: impl Fn(&Value) -> Option<T>) -> Result<Option<T>> {
-    match at.get(key) {
-        None | Some(Value::Null) => Ok(None),
-        Some(value) => get(value).map(Some).ok_or_else(|| format!("setting {key} is mistyped: {value}")),
-    }
-}
-
-fn span(at: &Value, key: &str) -> Result<Duration> {
-    Ok(Duration::from_nanos(optional(at, key, Value::as_u64)?.unwrap_or(0)))
-}
-
-fn settings(boot: &Value) -> Result<(Settings, Names)> {
-    let empty = json!({});
-    let part = |key: &str| boot.get(key).unwrap_or(&empty);
-    let (contract, family, limits) = (part("contract"), part("familyInfo"), part("policyLimits"));
-    let flag = |at: &Value, key: &str| Ok::<_, String>(optional(at, key, Value::as_bool)?.unwrap_or(false));
-    let list =
-        |at: &Value, key: &str| optional(at, key, |v| v.as_array().cloned()).map(Option::unwrap_or_default);
-    let pools = list(family, "skilledPools")?;
-    let mut names = Names { classes: BTreeMap::new(), tenants: BTreeMap::new(), report: Vec::new() };
-    let mut classes = Vec::new();
-    for (place, class) in list(boot, "classes")?.iter().enumerate() {
-        let name = class.get("name").and_then(Value::as_str).ok_or("a class has no name")?.to_owned();
-        let effect = match class.get("effect").and_then(Value::as_str) {
-            None | Some("read_like") => Effect::Safe,
-            Some("idempotency_key") => Effect::Keyed {
-                group: match class.get("group").and_then(Value::as_str) {
-                    Some("zone") => RepeatGroup::Zone,
-                    Some("cell") => RepeatGroup::Cell,
-                    _ => RepeatGroup::All,
-                },
-                window: span(class, "dedupWindowNs")?,
-            },
-            Some(_) => Effect::Unsafe,
-        };
-        let cells = pools.get(place).and_then(Value::as_array);
-        classes.push(ClassSettings {
-            aim: span(class, "onTimeNs")?,
-            deadline: span(class, "hardLimitNs")?,
-            points: optional(class, "points", Value::as_f64)?.unwrap_or(1.0),
-            late_share: optional(class, "lateShare", Value::as_f64)?.unwrap_or(0.0),
-            effect,
-            pools: cells.map(|c| c.iter().filter_map(small).map(Cell).collect()),
-            name: name.clone(),
-        });
-        names.classes.insert(name, ClassId(place));
-    }
-    let mut tenants = Vec::new();
-    for (place, party) in list(boot, "parties")?.iter().enumerate() {
-        let name = party.get("name").and_then(Value::as_str).ok_or("a tenant has no name")?.to_owned();
-        tenants.push(TenantSettings {
-            name: name.clone(),
-            quota_per_s: optional(party, "quotaPerS", Value::as_f64)?,
-        });
-        names.tenants.insert(name, TenantId(place));
-    }
-    names.report =
-        list(part("stats"), "names")?.iter().filter_map(|v| v.as_str().map(str::to_owned)).collect();
-    let topology =
-        match (family.get("topology").and_then(Value::as_str), family.get("homeNo").and_then(small)) {
-            (Some("mesh"), Some(home)) => Topology::Mesh { home: Cell(home) },
-            _ => Topology::Pools,
-        };
-    let ask = boot.get("registryMode").and_then(Value::as_str) == Some("ask");
-    let settings = Settings {
-        gateways: optional(boot, "balancers", small)?.unwrap_or(0),
-        me: PeerId(optional(boot, "me", small)?.unwrap_or(0)),
-        classes,
-        tenants,
-        over_share_worth: optional(boot, "overShareWorth", Value::as_f64)?.unwrap_or(1.0),
-        rules: Rules {
-            drain_grace: span(contract, "drainGraceNs")?,
-            cold_from: optional(contract, "coldFrom", Value::as_f64)?.unwrap_or(1.0),
-            cold_time: span(contract, "coldNs")?,
-            fall_multiple: optional(contract, "fallMultiple", Value::as_f64)?.unwrap_or(1.0),
-            fall_time: span(contract, "fallNs")?,
-            release_guard: span(family, "guardNs")?,
-            ask_within: span(contract, "askWithinNs")?,
-        },
-        limits: Limits {
-            max_attempts: optional(limits, "maxAttempts", small)?.unwrap_or(u32::MAX),
-            cancel: flag(limits, "cancel")?,
-            peers: flag(limits, "peers")?,
-            probes: flag(limits, "probes")?,
-            retry_after: flag(limits, "retryAfter")?,
-            max_retry_after: span(limits, "maxRetryAfterNs")?,
-        },
-        topology,
-        discovery: if ask { Discovery::Ask } else { Discovery::Push },
-        resend: Some(span(family, "resendNs")?).filter(|t| !t.is_zero()),
-        tick: span(boot, "tickNs")?,
-    };
-    Ok((settings, names))
-}
-
-fn small(value: &Value) -> Option<u32> {
-    value.as_u64().and_then(|n| u32::try_from(n).ok())
-}
-
 fn nanos(span: Duration) -> u64 {
     u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
 }
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -13,12 +13,12 @@
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
-use crate::backoff::Backoff;
 use crate::gate::{Gate, Identity};
 use crate::intake::Intake;
 use crate::interface::*;
 use crate::status;
 use crate::table::*;
+use fawnrouter_machine::{Backoff, Decide, Machine};
 
 /// Settings that no engine can work with.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
@@ -53,6 +53,23 @@
     drained_told: bool,
 }
 
+impl Machine for Engine {
+    type Input = Input;
+    type Output = Output;
+
+    fn handle(&mut self, now: Time, input: Input, outputs: &mut Vec<Output>) {
+        Engine::handle(self, now, input, outputs);
+    }
+
+    fn next_wake(&self) -> Option<Time> {
+        Engine::next_wake(self)
+    }
+
+    fn wake() -> Input {
+        Input::Wake
+    }
+}
+
 impl Engine {
     /// An engine that knows its settings and nothing else.
     ///
--- a/crates/fawnrouter-engine/src/interface.rs
+++ b/crates/fawnrouter-engine/src/interface.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fawnrouter::{
-    Action, AttemptNo, CallId, Controller, Event, ListKind, Outcome, ServerEntry, ServerId, Time,
-};
+use fawnrouter::{AttemptNo, CallId, ListKind, Outcome, ServerEntry, ServerId};
 use fawnrouter_sip::Message;
 
 use fawnrouter_admission::SetUpSettings;
@@ -14,19 +12,6 @@
 
 use crate::{AuthSettings, BackoffSettings, CallRules, IntakeLimits, KnownClient};
 
-/// What decides: the controller, or something that stands in for it in a comparison. The engine gives it every event
-/// and carries out every action in order.
-pub trait Decide: std::fmt::Debug {
-    /// Takes one event at the clock's reading `now` and appends what is to be done.
-    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>);
-}
-
-impl Decide for Controller {
-    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        Controller::handle(self, now, event, actions);
-    }
-}
-
 /// A client's connection, as the driver numbers it. Numbers are never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(pub u64);
--- a/crates/fawnrouter-engine/src/lib.rs
+++ b/crates/fawnrouter-engine/src/lib.rs
@@ -14,11 +14,9 @@
 //! | `intake` | which new call is taken at all: limits, drain |
 //! | `classify` | class, tenant and first-choice pool of a call, by rules in the settings |
 //! | `status` | the written table of SIP status and [`fawnrouter::Outcome`], both ways |
-//! | `backoff` | when a lost connection to a switch is tried again |
 //! | `caller`, `trunk` | messages of the caller's leg and of the attempt legs |
 //! | `engine` | inputs, the controller's events and actions, timers |
 
-mod backoff;
 mod caller;
 mod classify;
 mod engine;
@@ -29,12 +27,12 @@
 mod table;
 mod trunk;
 
-pub use backoff::{Backoff, BackoffSettings};
 pub use classify::{CallRules, Classified, Destination, Match, Rule};
 pub use engine::{Engine, EngineError};
 pub use fawnrouter;
 pub use fawnrouter_admission as admission;
 pub use fawnrouter_digest as digest;
+pub use fawnrouter_machine::{Backoff, BackoffSettings, Decide};
 pub use fawnrouter_sip as sip;
 pub use fawnrouter_zones as zones;
 pub use gate::{AuthSettings, KnownClient, Strangers};
--- a/crates/fawnrouter-engine/src/table.rs
+++ b/crates/fawnrouter-engine/src/table.rs
@@ -8,9 +8,9 @@
 use fawnrouter_sip::transaction::{InviteClient, InviteServer};
 use fawnrouter_sip::{Dialog, Message};
 
-use crate::backoff::Backoff;
 use crate::gate::Identity;
 use crate::interface::{ClientId, Switch};
+use fawnrouter_machine::{Backoff, Due};
 
 /// An attempt's leg to a switch.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -135,43 +135,6 @@
     Trunk(ServerId),
 }
 
-/// One time for each key.
-#[derive(Debug, Default)]
-pub(crate) struct Due {
-    order: BTreeSet<(Time, Key)>,
-    times: BTreeMap<Key, Time>,
-}
-
-impl Due {
-    pub fn set(&mut self, key: Key, at: Time) {
-        self.clear(key);
-        self.times.insert(key, at);
-        self.order.insert((at, key));
-    }
-
-    pub fn clear(&mut self, key: Key) {
-        if let Some(at) = self.times.remove(&key) {
-            self.order.remove(&(at, key));
-        }
-    }
-
-    pub fn first(&self) -> Option<Time> {
-        self.order.first().map(|(at, _)| *at)
-    }
-
-    /// Takes the first key that is due.
-    pub fn pop(&mut self, now: Time) -> Option<Key> {
-        let (at, key) = self.order.first().copied().filter(|(at, _)| *at <= now)?;
-        self.order.remove(&(at, key));
-        self.times.remove(&key);
-        Some(key)
-    }
-
-    pub fn len(&self) -> usize {
-        self.order.len()
-    }
-}
-
 /// Calls, legs, switches and clients, each found by its id.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
@@ -185,7 +148,7 @@
     pub ended: VecDeque<CallId>,
     /// Calls that are ended, of those in `calls`.
     pub ended_count: usize,
-    pub due: Due,
+    pub due: Due<Key>,
 }
 
 impl Table {
--- /dev/null
+++ b/crates/fawnrouter-node/src/lib.rs
@@ -0,0 +1,35 @@
+#![forbid(unsafe_code)]
+//! The gateway on the users' platform as a state machine: their JSON lines in, their JSON lines out, the same
+//! [`fawnrouter::Controller`] in the middle that the simulator drives. No socket, no clock, no unseeded randomness.
+//!
+//! | module | what it does |
+//! | --- | --- |
+//! | `boot` | the configuration file, checked whole before anything of it is used |
+//! | `pool` | the list of core switches from `known` and from DNS answers; ids as numbers |
+//! | `ask` | what is asked of the name server, and which datagram is its answer |
+//! | `request` | whether a set-up makes sense, and what it says |
+//! | `links` | connections to core switches: which set-up on which, how many, when again |
+//! | `liveness` | when a core switch's standing calls count as cut though nobody said so |
+//! | `seats` | which client's connection is closed, when and why |
+//! | `calls` | calls, open and standing, and what is remembered of those that ended |
+//! | `node` | inputs, the controller's events and actions, what comes due |
+
+mod ask;
+mod boot;
+mod calls;
+mod links;
+mod liveness;
+mod node;
+mod pool;
+mod request;
+mod seats;
+
+pub use ask::{Ask, AskError, Asked};
+pub use boot::{Boot, BootError};
+pub use fawnrouter;
+pub use fawnrouter_dns as dns;
+pub use fawnrouter_jsonl as jsonl;
+pub use links::LinkId;
+pub use node::{Counters, Input, LinkEnd, Node, NodeSettings, Output};
+pub use pool::{LIST_NAME, Pool, PoolError};
+pub use seats::ClientId;
--- a/crates/fawnrouterd/src/accept.rs
+++ b/crates/fawnrouterd/src/accept.rs
@@ -43,7 +43,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let now = core.clock.now();
+                let now = core.clock().now();
                 if !matches!(spare, Spare::Kept(_)) {
                     drop(spare);
                     spare = Spare::take();
@@ -65,7 +65,8 @@
                 }
             }
             Err(error) if exhausted(&error) => {
-                let step = core.door.borrow_mut().exhausted(core.clock.now(), !matches!(spare, Spare::Lost));
+                let step =
+                    core.door.borrow_mut().exhausted(core.clock().now(), !matches!(spare, Spare::Lost));
                 match step {
                     Step::UseSpare => spare = refuse_one(&core, spare, listener.get_ref()),
                     Step::Pause(pause) => {
@@ -94,7 +95,7 @@
     }
     match listener.accept() {
         Ok((mut stream, _)) => {
-            let (reason, wait) = core.door.borrow_mut().refuse_with_spare(core.clock.now());
+            let (reason, wait) = core.door.borrow_mut().refuse_with_spare(core.clock().now());
             // The answer fits into the socket's own buffer, so that this does not block.
             let _ = stream.set_nonblocking(true);
             let _ = stream.write_all(&client::refusal(reason, wait));
--- a/crates/fawnrouterd/src/cli.rs
+++ b/crates/fawnrouterd/src/cli.rs
@@ -30,6 +30,14 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Run the gateway of the users' platform: JSON lines to callers and core switches, the list by DNS, settings from
+    /// the platform's JSON. SIGTERM ends it once all that it took is answered; SIGHUP has the configuration read anew.
+    /// BALANCER_NAME and BALANCER_LISTEN, where set, must agree with the configuration.
+    Node {
+        /// The platform's configuration, JSON.
+        #[arg(long, env = "BALANCER_CONFIG")]
+        config: PathBuf,
+    },
     /// Read the settings and the list of switches, and say what is wrong with them.
     Check {
         /// The settings, YAML.
@@ -143,6 +151,16 @@
                 }
             }
         },
+        Command::Node { config } => {
+            crate::log::start(&fawnrouter_config::Log::default());
+            match crate::node::run(config) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    eprintln!("fawnrouter node: {error}");
+                    ExitCode::from(2)
+                }
+            }
+        }
         Command::Check { config } => match fawnrouter_config::load(&config) {
             Err(error) => wrong(&error),
             Ok(settings) => check(&config, &settings),
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -74,7 +74,7 @@
 ) {
     serve(&core, conn, &outbox, stream, peer, &terms).await;
     core.peers.borrow_mut().gone(conn);
-    core.door.borrow_mut().gone(core.clock.now(), conn);
+    core.door.borrow_mut().gone(core.clock().now(), conn);
 }
 
 /// The answer to a connection that does not get in.
@@ -171,7 +171,7 @@
             }
             heard.set(Instant::now());
             let messages = std::mem::take(&mut session.messages);
-            let pause = core.door.borrow_mut().pace(core.clock.now(), conn, messages);
+            let pause = core.door.borrow_mut().pace(core.clock().now(), conn, messages);
             if !pause.is_zero() {
                 Timer::after(pause).await;
                 heard.set(Instant::now());
@@ -232,7 +232,7 @@
         }
     };
     let refused = |(reason, wait): Refusal| refusal(reason, wait);
-    let now = core.clock.now();
+    let now = core.clock().now();
     let mut origin = peer.ip();
     if core.door.borrow().is_forwarder(origin) {
         let hops = forwarded_for(accepted.forwarded.iter().map(String::as_str));
--- a/crates/fawnrouterd/src/control.rs
+++ b/crates/fawnrouterd/src/control.rs
@@ -202,7 +202,7 @@
 }
 
 fn carry_out(core: &Core, command: &Command) -> Reply {
-    let now = core.clock.now().0;
+    let now = core.clock().now().0;
     if matches!(command, Command::Show) {
         return Reply::Shown(Box::new(show(core)));
     }
--- /dev/null
+++ b/crates/fawnrouterd/src/node/mod.rs
@@ -0,0 +1,100 @@
+//! The gateway on the users' platform: thin drivers around [`fawnrouter_node::Node`], one file each.
+//!
+//! A byte of a set-up goes `client` → `Decoder` → `Message` → `Node::handle` → `Controller` → `gate` → `Outbox` →
+//! `trunk`. Drivers know the [`gate::Gate`] and never each other.
+
+mod client;
+mod config;
+mod gate;
+mod listener;
+mod names;
+mod signals;
+mod trunk;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use fawnrouter_node::fawnrouter::SettingsError;
+use fawnrouter_node::{Input, Node, NodeSettings};
+use futures_lite::future;
+
+pub use config::{ConfigError, Source};
+use gate::Gate;
+
+/// Why the gateway cannot run. Each text names what is wrong and what to do.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// The configuration.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The address cannot be listened on.
+    #[error(
+        "listen: cannot listen on {address}: {error}; free the address or change it in the configuration"
+    )]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// Signals cannot be caught.
+    #[error("cannot catch signals: {0}")]
+    Signals(io::Error),
+    /// The decisions refuse the settings.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+/// Last bytes get this long to be written at the end.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
+/// Runs a gateway until SIGTERM or SIGINT and the end of what it has taken.
+///
+/// # Errors
+/// Where it cannot start.
+pub fn run(path: PathBuf) -> Result<(), NodeError> {
+    let source = Source::new(path);
+    let boot = source.read()?;
+    source.check_environment(&boot)?;
+    let address = boot.listen;
+    let listen = |error| NodeError::Listen { address, error };
+    let listener = Async::<TcpListener>::bind(address).map_err(listen)?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(NodeError::Signals)?;
+    let node = Node::new(NodeSettings::new(&boot))?;
+    let executor = Rc::new(LocalExecutor::new());
+    let gate = Gate::new(node, boot.descriptors, boot.nameserver, trunk::open, &executor);
+    gate.input(Input::Known(boot.known));
+    tracing::info!(name = boot.name, %address, "gateway ready");
+    let all = async {
+        let tasks = [
+            executor.spawn(wake(gate.clone())),
+            executor.spawn(names::ask(gate.clone())),
+            executor.spawn(signals::heed(gate.clone(), signals, source)),
+            executor.spawn(listener::accept(gate.clone(), listener, client::serve)),
+        ];
+        gate.done().await;
+        let flushed = async {
+            while gate.busy() {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        };
+        future::or(flushed, async {
+            Timer::after(LAST_WORDS).await;
+        })
+        .await;
+        gate.log_counts();
+        drop(tasks);
+    };
+    async_io::block_on(executor.run(all));
+    Ok(())
+}
+
+async fn wake(gate: Rc<Gate>) {
+    gate.wake().await;
+}
--- /dev/null
+++ b/crates/fawnrouterd/src/node/trunk.rs
@@ -0,0 +1,79 @@
+//! One connection to a core switch: lines out, lines in.
+
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use fawnrouter_node::jsonl::Decoder;
+use fawnrouter_node::{Input, LinkEnd, LinkId};
+use futures_lite::future;
+
+use super::gate::Gate;
+use crate::outbox::Outbox;
+
+/// What is still to be written to a connection that is closed gets this long.
+const LAST_WORDS: Duration = Duration::from_millis(300);
+
+/// Begins a connection.
+pub fn open(gate: Rc<Gate>, link: LinkId, address: SocketAddr, within: Duration, outbox: Rc<Outbox>) {
+    gate.spawn(drive(gate.clone(), link, address, within, outbox));
+}
+
+async fn drive(gate: Rc<Gate>, link: LinkId, address: SocketAddr, within: Duration, outbox: Rc<Outbox>) {
+    let connecting = async { Async::<TcpStream>::connect(address).await.map_err(|e| e.kind()) };
+    let late = async {
+        Timer::after(within).await;
+        Err(ErrorKind::TimedOut)
+    };
+    // The node may drop it before it is up.
+    let dropped = async {
+        outbox.ended().await;
+        Err(ErrorKind::Interrupted)
+    };
+    let end = match future::or(future::or(connecting, late), dropped).await {
+        Ok(stream) => {
+            serve(&gate, link, &stream, &outbox).await;
+            LinkEnd::Broken
+        }
+        Err(ErrorKind::ConnectionRefused) => LinkEnd::Refused,
+        Err(_) => LinkEnd::Unreached,
+    };
+    if gate.has_link(link) {
+        gate.drop_link(link);
+        gate.input(Input::LinkDown { link, end });
+    }
+}
+
+async fn serve(gate: &Rc<Gate>, link: LinkId, stream: &Async<TcpStream>, outbox: &Rc<Outbox>) {
+    let _ = stream.get_ref().set_nodelay(true);
+    gate.input(Input::LinkUp { link });
+    let writing = async {
+        let _ = outbox.write_to(stream).await;
+    };
+    let late = async {
+        outbox.ended().await;
+        Timer::after(LAST_WORDS).await;
+    };
+    let ends = future::or(late, outbox.killed());
+    future::or(future::or(writing, read(gate, link, stream)), ends).await;
+}
+
+/// Reads until the core switch's end, or until what it sends is no message.
+async fn read(gate: &Rc<Gate>, link: LinkId, stream: &Async<TcpStream>) {
+    let mut decoder = Decoder::new();
+    loop {
+        let n = stream.read_with(|mut s| s.read(&mut gate.scratch.borrow_mut())).await;
+        let Some(n) = n.ok().filter(|n| *n > 0) else { return };
+        decoder.push(&gate.scratch.borrow()[..n]);
+        while gate.has_link(link) {
+            match decoder.next_message() {
+                Ok(Some(message)) => gate.input(Input::LinkMessage { link, message }),
+                Ok(None) => break,
+                Err(fault) => return gate.input(Input::LinkFault { link, fault }),
+            }
+        }
+        future::yield_now().await;
+    }
+}
