--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -26,6 +26,9 @@
 /// After SIGTERM set-ups are served as usual for this long (the page's 0.4 s for new connections and 0.2 s for
 /// requests on open ones, and a margin); later ones are refused.
 const STOP_AFTER: Duration = Duration::from_millis(700);
+/// Causes of a test's answer ("test passed, failed: cause 1 or 0").
+const TEST_PASSED: i64 = 1;
+const TEST_FAILED: i64 = 0;
 /// An answer that the decisions have not given by then is a failure: so long before the caller's time is up.
 const LAST_CALL: Duration = Duration::from_millis(25);
 /// A client that is overdue and has a set-up open is looked at again after this time.
@@ -734,7 +737,7 @@
                 if let Some((server, sent, asked)) = self.probes.remove(&tag)
                     && asked
                 {
-                    let (ok, took) = (message.rc == Some(0), now.since(sent));
+                    let (ok, took) = (message.rc == Some(TEST_PASSED), now.since(sent));
                     self.events.push_back(Event::Probed { server, ok, took, report: Report::default() });
                 }
             }
@@ -985,8 +988,9 @@
             Verb::Start => self.start(client, message),
             Verb::Finish => self.finish(client, &message),
             Verb::Echo => {
-                let failed = i64::from(self.stopping.is_some());
-                self.to_client(client, &Message::new(Verb::Echoed, tag).cause(failed));
+                // A gateway that ends fails the test, so that the front turns to others.
+                let rc = if self.stopping.is_none() { TEST_PASSED } else { TEST_FAILED };
+                self.to_client(client, &Message::new(Verb::Echoed, tag).cause(rc));
             }
             Verb::Pending | Verb::Finished | Verb::Echoed | Verb::Load => {}
             Verb::Started | Verb::Other => {
