--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -471,7 +471,7 @@
         }
         self.withdraw(tag);
         if let Some(open) = self.drop_open(tag) {
-            self.to_client(open.client, &finish);
+            self.tell_client(open.client, &finish);
         }
     }
 
@@ -532,7 +532,7 @@
             link.open.insert(tag);
         }
         self.counters.attempts += 1;
-        self.to_link(link, &start);
+        self.tell_switch(link, &start);
     }
 
     /// Gives up the attempt that is out, if there is one: the core switch hears of it where the set-up was written.
@@ -544,7 +544,7 @@
             Some((link, _)) => {
                 if let Some(l) = self.links.links.get_mut(&link) {
                     l.spend(self.now, tag);
-                    self.to_link(link, &Message::new(Verb::Finish, tag).cause(cause::CLEARING));
+                    self.tell_switch(link, &Message::new(Verb::Finish, tag).cause(cause::CLEARING));
                 } else {
                     self.release(attempt.server, tag, cause::CLEARING);
                 }
@@ -583,7 +583,7 @@
     /// Releases a call at a core switch, now or on the next connection.
     fn release(&mut self, server: ServerId, tag: Tag, rc: i64) {
         match self.links.for_release(server) {
-            Some(link) => self.to_link(link, &Message::new(Verb::Finish, tag).cause(rc)),
+            Some(link) => self.tell_switch(link, &Message::new(Verb::Finish, tag).cause(rc)),
             None => {
                 self.links.owe(server, tag, rc);
                 self.tend(server);
@@ -591,7 +591,7 @@
         }
     }
 
-    fn to_link(&mut self, link: LinkId, message: &Message) {
+    fn tell_switch(&mut self, link: LinkId, message: &Message) {
         let mut line = Vec::with_capacity(256);
         message.write(&mut line);
         self.out.push(Output::ToLink { link, line });
@@ -631,7 +631,7 @@
             s.life.heard(self.now);
         }
         for (tag, rc) in self.links.owed(server) {
-            self.to_link(link, &Message::new(Verb::Finish, tag).cause(rc));
+            self.tell_switch(link, &Message::new(Verb::Finish, tag).cause(rc));
         }
         for tag in self.links.take_waiting(server) {
             match self.links.pick(server, tag) {
@@ -726,10 +726,10 @@
                 }
                 let standing = self.calls.standing.get(&tag).is_some_and(|s| s.server == server);
                 if standing {
-                    self.to_link(link, &Message::new(Verb::Finished, tag));
+                    self.tell_switch(link, &Message::new(Verb::Finished, tag));
                     self.falls(tag, rc);
                 } else if !self.calls.open.contains_key(&tag) && !self.calls.ended.has(tag) {
-                    self.to_link(link, &Message::new(Verb::Finished, tag));
+                    self.tell_switch(link, &Message::new(Verb::Finished, tag));
                     self.calls.unclaimed.put(tag, rc);
                 }
             }
@@ -752,7 +752,7 @@
         self.probes.retain(|_, (_, sent, _)| now.since(*sent) < PROBE_MEMORY);
         let tag = Tag(self.rng.next_u64());
         self.probes.insert(tag, (server, now, asked));
-        self.to_link(link, &Message::new(Verb::Echo, tag).cause(0));
+        self.tell_switch(link, &Message::new(Verb::Echo, tag).cause(0));
         true
     }
 
@@ -848,7 +848,7 @@
         let standing =
             Standing { client: open.client, server: attempt.server, attempt: Some(attempt.no), since: now };
         self.calls.stand(tag, standing);
-        self.to_client(open.client, &Message::new(Verb::Started, tag).description(blob));
+        self.tell_client(open.client, &Message::new(Verb::Started, tag).description(blob));
         self.watch_life(attempt.server);
     }
 
@@ -865,7 +865,7 @@
         let outcome = if rc == cause::CLEARING { Outcome::Ended } else { Outcome::Reset };
         self.counters.cut += u64::from(outcome == Outcome::Reset);
         self.standing_ended(tag, standing, outcome);
-        self.to_client(standing.client, &Message::new(Verb::Finish, tag).cause(rc));
+        self.tell_client(standing.client, &Message::new(Verb::Finish, tag).cause(rc));
     }
 
     fn standing_ended(&mut self, tag: Tag, standing: Standing, outcome: Outcome) {
@@ -990,7 +990,7 @@
             Verb::Echo => {
                 // A gateway that ends fails the test, so that the front turns to others.
                 let rc = if self.stopping.is_none() { TEST_PASSED } else { TEST_FAILED };
-                self.to_client(client, &Message::new(Verb::Echoed, tag).cause(rc));
+                self.tell_client(client, &Message::new(Verb::Echoed, tag).cause(rc));
             }
             Verb::Pending | Verb::Finished | Verb::Echoed | Verb::Load => {}
             Verb::Started | Verb::Other => {
@@ -1019,7 +1019,7 @@
             Ok(Request::Standing(_)) => return,
             Err(rc) => {
                 self.counters.invalid += 1;
-                return self.to_client(client, &wrong(rc));
+                return self.tell_client(client, &wrong(rc));
             }
         };
         if self.is_over() || self.calls.open.len() >= self.sockets.max_open {
@@ -1027,7 +1027,7 @@
             let refusal = wrong(cause::CONGESTION);
             let wait = self.decisions.limits.max_retry_after.as_millis();
             let told = self.decisions.limits.retry_after && wait > 0;
-            return self.to_client(client, &if told { refusal.option("wait", wait) } else { refusal });
+            return self.tell_client(client, &if told { refusal.option("wait", wait) } else { refusal });
         }
         self.counters.taken += 1;
         let deadline = self.now.plus(new.left);
@@ -1061,7 +1061,7 @@
             // It is over already, or its core switch is.
             (_, released) => {
                 let rc = released.unwrap_or(cause::TEMPORARY_FAILURE);
-                self.to_client(client, &Message::new(Verb::Finish, tag).cause(rc));
+                self.tell_client(client, &Message::new(Verb::Finish, tag).cause(rc));
             }
         }
     }
@@ -1073,23 +1073,23 @@
             // Only the connection of the set-up can give it up: an id alone is no proof.
             if open.client == client {
                 self.lapse(tag);
-                self.to_client(client, &Message::new(Verb::Finished, tag));
+                self.tell_client(client, &Message::new(Verb::Finished, tag));
             }
         } else if let Some(standing) = self.calls.fall(tag) {
             let rc = message.rc.unwrap_or(cause::CLEARING);
             self.standing_ended(tag, standing, Outcome::Cancelled);
             self.release(standing.server, tag, rc);
-            self.to_client(client, &Message::new(Verb::Finished, tag));
+            self.tell_client(client, &Message::new(Verb::Finished, tag));
         } else if self.calls.ended.has(tag) {
-            self.to_client(client, &Message::new(Verb::Finished, tag));
+            self.tell_client(client, &Message::new(Verb::Finished, tag));
         } else {
             self.counters.invalid += 1;
-            self.to_client(client, &Message::new(Verb::Finish, tag).cause(cause::INVALID_REFERENCE));
+            self.tell_client(client, &Message::new(Verb::Finish, tag).cause(cause::INVALID_REFERENCE));
         }
     }
 
     /// Writes to a client; where its connection is gone, on another of the same address, or on the next.
-    fn to_client(&mut self, client: ClientId, message: &Message) {
+    fn tell_client(&mut self, client: ClientId, message: &Message) {
         let mut line = Vec::with_capacity(256);
         message.write(&mut line);
         if self.seats.is_in(client) {
--- a/crates/fawnrouter-node/src/pool.rs
+++ b/crates/fawnrouter-node/src/pool.rs
@@ -35,6 +35,9 @@
     /// A record that the list needs is missing or makes no sense.
     #[error("{0}: {1}")]
     Record(String, &'static str),
+    /// No core switch at all: never true of a service, and more likely a fault of the name server's.
+    #[error("the answer names no core switch")]
+    Empty,
     /// Too many core switches.
     #[error("the list names more than {MAX_LISTED} core switches")]
     TooMany,
@@ -172,7 +175,8 @@
                 return Err(PoolError::TooMany);
             }
         }
-        Ok(pool)
+        // Guards against a failing name server; the last list stands until one is named again.
+        if pool.listed.is_empty() { Err(PoolError::Empty) } else { Ok(pool) }
     }
 }
 
--- /dev/null
+++ b/crates/fawnrouter-node/tests/common/mod.rs
@@ -0,0 +1,287 @@
+//! A gateway without sockets: the tests play callers, core switches and the name server.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use fawnrouter_node::fawnrouter::Time;
+use fawnrouter_node::jsonl::{Decoder, Message, Tag, Verb};
+use fawnrouter_node::{Boot, ClientId, Input, LinkEnd, LinkId, Node, NodeSettings, Output, Pool};
+
+/// Unix time at the start of each test.
+pub const START_MS: u64 = 1_800_000_000_000;
+pub const HOME: [u8; 4] = [127, 0, 1, 1];
+
+/// A line of the list: id, port, state, start time in ms.
+pub type Line<'a> = (&'a str, u16, &'a str, u64);
+
+pub fn known(serial: u32, lines: &[Line<'_>]) -> String {
+    let instances: Vec<String> = lines
+        .iter()
+        .map(|(id, port, state, started)| {
+            format!(
+                r#"{{"instanceId":"{id}","hostPort":"127.0.0.1:{port}","zone":"kochi","machineType":"std","cell":{},
+                   "lifecycle":"{state}","weight":1,"startedAtMs":{started}}}"#,
+                port % 10
+            )
+        })
+        .collect();
+    format!(
+        r#"{{"seq":{serial},"results":[{{"seq":{serial},"fleet":{{"generation":1,"reset":true,"instances":[{}]}}}}]}}"#,
+        instances.join(",")
+    )
+}
+
+pub fn config(known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:5060","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"nameserver":"127.0.0.1:5300","known":{known},
+            "settings":{{"balancers":2,"me":0,"tickNs":5000000,
+              "classes":[{{"name":"voice","onTimeNs":2000000000,"hardLimitNs":9000000000,"points":1.0,
+                           "lateShare":0.25,"effect":"read_like"}}],
+              "contract":{{"coldFrom":0.33,"coldNs":14000000000,"drainGraceNs":1000000000,"fallMultiple":4.0,
+                           "fallNs":1000000000}},
+              "familyInfo":{{"guardNs":200000000,"topology":"pools"}},
+              "policyLimits":{{"cancel":true,"connIdleNs":60000000000,"dialTimeoutNs":500000000,"maxAttempts":5,
+                               "maxOpen":1000,"maxRetryAfterNs":2000000000,"multiplex":100,"retryAfter":true}}}}}}"#
+    )
+}
+
+pub fn pool(serial: u32, lines: &[Line<'_>]) -> Pool {
+    Pool::known(&serde_json::from_str(&known(serial, lines)).unwrap()).unwrap()
+}
+
+pub struct Rig {
+    pub node: Node,
+    pub now_ms: u64,
+    /// Everything that came out, with its time.
+    pub seen: Vec<(u64, Output)>,
+    /// Connections by number, with the port they go to; those that are up.
+    pub links: BTreeMap<LinkId, u16>,
+    pub up: BTreeMap<LinkId, bool>,
+    /// Ports that refuse, and ports that never come up.
+    pub refusing: Vec<u16>,
+    pub silent: Vec<u16>,
+    next_client: u64,
+}
+
+impl Rig {
+    /// With this many ready switches at ports 7001 on, all connections up.
+    pub fn new(switches: u16) -> Self {
+        let ids: Vec<String> = (1..=switches).map(|n| format!("s-{n}")).collect();
+        let lines: Vec<Line<'_>> =
+            ids.iter().zip(7001..).map(|(id, port)| (id.as_str(), port, "Ready", 0)).collect();
+        Self::with(&lines)
+    }
+
+    pub fn with(lines: &[Line<'_>]) -> Self {
+        let boot = Boot::read(config(&known(1, lines)).as_bytes()).unwrap();
+        let node = Node::new(NodeSettings::new(&boot)).unwrap();
+        let mut rig = Self {
+            node,
+            now_ms: START_MS,
+            seen: Vec::new(),
+            links: BTreeMap::new(),
+            up: BTreeMap::new(),
+            refusing: Vec::new(),
+            silent: Vec::new(),
+            next_client: 0,
+        };
+        rig.input(Input::Known(boot.known));
+        rig
+    }
+
+    pub fn now(&self) -> Time {
+        Time(Duration::from_millis(self.now_ms))
+    }
+
+    /// Gives an input; connections that are opened come up, are refused or hang as the test has it.
+    pub fn input(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut out = Vec::new();
+            self.node.handle(self.now(), input, &mut out);
+            for output in out {
+                match &output {
+                    Output::OpenLink { link, address, .. } => {
+                        let port = address.port();
+                        self.links.insert(*link, port);
+                        if self.refusing.contains(&port) {
+                            self.links.remove(link);
+                            inputs.insert(0, Input::LinkDown { link: *link, end: LinkEnd::Refused });
+                        } else if !self.silent.contains(&port) {
+                            self.up.insert(*link, true);
+                            inputs.insert(0, Input::LinkUp { link: *link });
+                        }
+                    }
+                    Output::CloseLink { link } => {
+                        self.links.remove(link);
+                        self.up.remove(link);
+                    }
+                    _ => {}
+                }
+                self.seen.push((self.now_ms, output));
+            }
+        }
+    }
+
+    /// Time passes; the node is woken when it asks for it. Connections that hang fail after 500 ms.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        loop {
+            let wake = self.node.next_wake().map(|t| t.0.as_nanos().div_ceil(1_000_000) as u64);
+            match wake.filter(|w| *w <= end) {
+                Some(wake) => {
+                    self.now_ms = self.now_ms.max(wake);
+                    self.input(Input::Wake);
+                }
+                None => break,
+            }
+        }
+        self.now_ms = end;
+        let hanging: Vec<LinkId> = self.links.keys().copied().filter(|l| !self.up.contains_key(l)).collect();
+        for link in hanging {
+            self.links.remove(&link);
+            self.input(Input::LinkDown { link, end: LinkEnd::Unreached });
+        }
+    }
+
+    pub fn connect(&mut self) -> ClientId {
+        self.connect_from(HOME)
+    }
+
+    pub fn connect_from(&mut self, peer: [u8; 4]) -> ClientId {
+        self.next_client += 1;
+        let client = ClientId(self.next_client);
+        self.input(Input::ClientUp { client, peer: IpAddr::from(peer) });
+        client
+    }
+
+    pub fn client_says(&mut self, client: ClientId, line: &str) {
+        match parse(line.as_bytes()) {
+            Ok(message) => self.input(Input::ClientMessage { client, message }),
+            Err(fault) => self.input(Input::ClientFault { client, fault }),
+        }
+    }
+
+    pub fn call(&mut self, client: ClientId, tag: u64, left_ms: u64) {
+        self.client_says(client, &start(tag, left_ms));
+    }
+
+    /// What a core switch says on a connection.
+    pub fn switch_says(&mut self, link: LinkId, line: &str) {
+        match parse(line.as_bytes()) {
+            Ok(message) => self.input(Input::LinkMessage { link, message }),
+            Err(fault) => self.input(Input::LinkFault { link, fault }),
+        }
+    }
+
+    pub fn started(&mut self, link: LinkId, tag: u64) {
+        self.switch_says(
+            link,
+            &format!(r#"{{"verb":"STARTED","tag":"{tag:016x}","opts":{{}},"blob":"answer {tag}"}}"#),
+        );
+    }
+
+    pub fn finish(&mut self, link: LinkId, tag: u64, rc: i64) {
+        self.switch_says(link, &finish(tag, rc));
+    }
+
+    /// The connection breaks.
+    pub fn broken(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        self.up.remove(&link);
+        self.input(Input::LinkDown { link, end: LinkEnd::Broken });
+    }
+
+    /// All connections to a port break.
+    pub fn all_broken(&mut self, port: u16) {
+        let links: Vec<LinkId> =
+            self.up.keys().copied().filter(|l| self.links.get(l) == Some(&port)).collect();
+        links.into_iter().for_each(|link| self.broken(link));
+    }
+
+    /// What was written to core switches: when, where, what.
+    pub fn to_links(&self) -> Vec<(u64, LinkId, Message)> {
+        let written = self.seen.iter().filter_map(|(at, o)| match o {
+            Output::ToLink { link, line } => Some((*at, *link, parse(line).unwrap())),
+            _ => None,
+        });
+        written.collect()
+    }
+
+    /// Set-ups written for this call: when, on which connection.
+    pub fn starts(&self, tag: u64) -> Vec<(u64, LinkId)> {
+        let all = self.to_links().into_iter();
+        all.filter(|(_, _, m)| m.verb == Verb::Start && m.tag == Tag(tag))
+            .map(|(at, link, _)| (at, link))
+            .collect()
+    }
+
+    /// Releases written for this call.
+    pub fn releases(&self, tag: u64) -> Vec<(u64, LinkId)> {
+        let all = self.to_links().into_iter();
+        all.filter(|(_, _, m)| m.verb == Verb::Finish && m.tag == Tag(tag))
+            .map(|(at, link, _)| (at, link))
+            .collect()
+    }
+
+    /// What was written to clients with a tag: when, to whom, what.
+    pub fn to_clients(&self) -> Vec<(u64, ClientId, Message)> {
+        let written = self.seen.iter().filter_map(|(at, o)| match o {
+            Output::ToClient { client, line } => parse(line).ok().map(|m| (*at, *client, m)),
+            _ => None,
+        });
+        written.collect()
+    }
+
+    /// What clients were told of this call: type and cause.
+    pub fn told(&self, tag: u64) -> Vec<(Verb, Option<i64>)> {
+        self.to_clients()
+            .into_iter()
+            .filter(|(_, _, m)| m.tag == Tag(tag))
+            .map(|(_, _, m)| (m.verb, m.rc))
+            .collect()
+    }
+
+    pub fn closed(&self, client: ClientId) -> bool {
+        self.seen.iter().any(|(_, o)| *o == Output::CloseClient { client })
+    }
+
+    pub fn done(&self) -> bool {
+        self.seen.iter().any(|(_, o)| *o == Output::Done)
+    }
+
+    /// A call that stands; on which connection it came to.
+    pub fn standing(&mut self, client: ClientId, tag: u64) -> LinkId {
+        self.call(client, tag, 3000);
+        let (_, link) = *self.starts(tag).last().expect("the call was sent on");
+        self.started(link, tag);
+        assert_eq!(self.told(tag), [(Verb::Started, None)]);
+        link
+    }
+}
+
+pub fn parse(line: &[u8]) -> Result<Message, fawnrouter_node::jsonl::Fault> {
+    let mut decoder = Decoder::new();
+    decoder.push(line);
+    if !line.ends_with(b"\n") {
+        decoder.push(b"\n");
+    }
+    decoder.next_message().map(|m| m.expect("a line"))
+}
+
+pub fn start(tag: u64, left_ms: u64) -> String {
+    format!(
+        r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"voice","left":"{left_ms}","key":"7f3a","extras":"dest:1;width:1;via:-1"}},"blob":"offer {tag}"}}"#
+    )
+}
+
+pub fn finish(tag: u64, rc: i64) -> String {
+    format!(r#"{{"verb":"FINISH","tag":"{tag:016x}","opts":{{}},"rc":{rc}}}"#)
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
--- a/crates/fawnrouterd/src/cli.rs
+++ b/crates/fawnrouterd/src/cli.rs
@@ -36,7 +36,7 @@
     Node {
         /// The platform's configuration, JSON.
         #[arg(long, env = "BALANCER_CONFIG")]
-        config: PathBuf,
+        config: Option<PathBuf>,
     },
     /// Read the settings and the list of switches, and say what is wrong with them.
     Check {
@@ -153,6 +153,11 @@
         },
         Command::Node { config } => {
             crate::log::start(&fawnrouter_config::Log::default());
+            let Some(config) = config else {
+                return wrong(
+                    &"BALANCER_CONFIG is not set; set it to the gateway's configuration, or give --config FILE",
+                );
+            };
             match crate::node::run(config) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(error) => {
