Crowds push out no caller, and a release goes on a caller's other connection

Checked with every line on the client side traced: the releases came in time from the switches; the callers' connections had been closed by the gateway as idle although calls that came on them stood, while a crowd of connections that had only passed the test stayed; afterwards no other connection had the same address (each of the front's has its own), so that the release waited for one in vain. Ruled out: lost releases, own delay. Change: connections have a rank (silent, spoke, served) and are closed in that order, those that await a release last; a release goes on the connection that was used last of those on which a call has stood, or on the next such one.

--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -1,7 +1,7 @@
 //! Inputs, the controller's events and actions, and what comes due.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fawnrouter::{
@@ -93,8 +93,6 @@
     ClientUp {
         /// Its number.
         client: ClientId,
-        /// Its address.
-        peer: IpAddr,
     },
     /// A client sent something whole.
     ClientMessage {
@@ -257,9 +255,8 @@
     calls: Calls,
     links: Links,
     seats: Seats,
-    /// Where each client connects from, for releases once its connection is gone.
-    homes: BTreeMap<ClientId, IpAddr>,
-    news: VecDeque<(Time, IpAddr, Vec<u8>)>,
+    /// Releases that wait for a connection of a caller's.
+    news: VecDeque<(Time, Vec<u8>)>,
     servers: BTreeMap<ServerId, Server>,
     ids: Ids,
     serial: Option<u32>,
@@ -313,7 +310,6 @@
             calls: Calls::default(),
             links: Links::new(settings.links, settings.sockets.multiplex, settings.sockets.idle),
             seats: Seats::new(settings.clients),
-            homes: BTreeMap::new(),
             news: VecDeque::new(),
             servers: BTreeMap::new(),
             ids: Ids::default(),
@@ -359,7 +355,7 @@
             self.due.set(Key::House, self.now.plus(HOUSE));
         }
         match input {
-            Input::ClientUp { client, peer } => self.client_up(client, peer),
+            Input::ClientUp { client } => self.client_up(client),
             Input::ClientMessage { client, message } => {
                 if self.seats.is_in(client) {
                     self.seats.spoke(self.now, client);
@@ -849,6 +845,7 @@
             Standing { client: open.client, server: attempt.server, attempt: Some(attempt.no), since: now };
         self.calls.stand(tag, standing);
         self.tell_client(open.client, &Message::new(Verb::Started, tag).description(blob));
+        self.served(open.client);
         self.watch_life(attempt.server);
     }
 
@@ -865,10 +862,11 @@
         let outcome = if rc == cause::CLEARING { Outcome::Ended } else { Outcome::Reset };
         self.counters.cut += u64::from(outcome == Outcome::Reset);
         self.standing_ended(tag, standing, outcome);
-        self.tell_client(standing.client, &Message::new(Verb::Finish, tag).cause(rc));
+        self.tell_caller(standing.client, &Message::new(Verb::Finish, tag).cause(rc));
     }
 
     fn standing_ended(&mut self, tag: Tag, standing: Standing, outcome: Outcome) {
+        self.seats.stands(standing.client, false);
         if let Some(attempt) = standing.attempt {
             self.events.push_back(Event::Closed {
                 call: CallId(tag.0),
@@ -884,8 +882,8 @@
     }
 
     // ---- Clients ----------------------------------------------------------------------------------------------
-    fn client_up(&mut self, client: ClientId, peer: IpAddr) {
-        match self.seats.arrive(self.now, client, peer) {
+    fn client_up(&mut self, client: ClientId) {
+        match self.seats.arrive(self.now, client) {
             Arrival::In => {}
             Arrival::InFor(least) => {
                 self.counters.unseated += 1;
@@ -897,15 +895,15 @@
                 return;
             }
         }
-        self.homes.insert(client, peer);
         self.watch(client);
-        // Releases that waited for a connection of this client's.
-        let now = self.now;
-        for (told, home, line) in std::mem::take(&mut self.news) {
-            if home == peer {
+    }
+
+    /// A call stands for this client: what waited to be told to a caller can be told now.
+    fn served(&mut self, client: ClientId) {
+        self.seats.stands(client, true);
+        if self.seats.is_in(client) {
+            for (_, line) in std::mem::take(&mut self.news) {
                 self.out.push(Output::ToClient { client, line });
-            } else if now.since(told) < NEWS_MEMORY {
-                self.news.push_back((told, home, line));
             }
         }
     }
@@ -1043,8 +1041,9 @@
     /// A caller tells of a call that stands: it expects no answer, only the release in its time.
     fn told_standing(&mut self, client: ClientId, tag: Tag, at: &str) {
         if let Some(standing) = self.calls.standing.get_mut(&tag) {
-            standing.client = client;
-            return;
+            let before = std::mem::replace(&mut standing.client, client);
+            self.seats.stands(before, false);
+            return self.served(client);
         }
         if self.calls.open.contains_key(&tag) {
             self.counters.invalid += 1;
@@ -1055,6 +1054,7 @@
         match (server, released) {
             (Some(server), None) if self.calls.standing.len() < MAX_STANDING => {
                 self.calls.stand(tag, Standing { client, server, attempt: None, since: self.now });
+                self.served(client);
                 self.tend(server);
                 self.watch_life(server);
             }
@@ -1088,19 +1088,23 @@
         }
     }
 
-    /// Writes to a client; where its connection is gone, on another of the same address, or on the next.
+    /// Writes to a client, if it is there.
     fn tell_client(&mut self, client: ClientId, message: &Message) {
-        let mut line = Vec::with_capacity(256);
-        message.write(&mut line);
         if self.seats.is_in(client) {
-            return self.out.push(Output::ToClient { client, line });
+            let mut line = Vec::with_capacity(256);
+            message.write(&mut line);
+            self.out.push(Output::ToClient { client, line });
         }
-        // Only what stood outlives its connection.
-        let Some(home) = self.homes.get(&client).copied() else { return };
-        match self.seats.instead_of(home) {
-            Some(client) => self.out.push(Output::ToClient { client, line }),
+    }
+
+    /// Tells the caller of a standing call that it is over; where its connection is gone, on another, or on the next.
+    fn tell_caller(&mut self, client: ClientId, message: &Message) {
+        match Some(client).filter(|client| self.seats.is_in(*client)).or_else(|| self.seats.instead()) {
+            Some(client) => self.tell_client(client, message),
             None => {
-                self.news.push_back((self.now, home, line));
+                let mut line = Vec::new();
+                message.write(&mut line);
+                self.news.push_back((self.now, line));
                 if self.news.len() > MAX_NEWS {
                     self.news.pop_front();
                 }
@@ -1197,11 +1201,7 @@
             self.link_gone(link, false);
         }
         let now = self.now;
-        self.news.retain(|(told, _, _)| now.since(*told) < NEWS_MEMORY);
-        // A client's home is remembered as long as something of it stands.
-        let seats = &self.seats;
-        let of_standing: BTreeSet<ClientId> = self.calls.standing.values().map(|s| s.client).collect();
-        self.homes.retain(|client, _| seats.is_in(*client) || of_standing.contains(client));
+        self.news.retain(|(told, _)| now.since(*told) < NEWS_MEMORY);
         for server in self.servers.keys().copied().collect::<Vec<_>>() {
             self.maybe_forget(server);
         }
--- a/crates/fawnrouterd/src/node/client.rs
+++ b/crates/fawnrouterd/src/node/client.rs
@@ -1,7 +1,7 @@
 //! One client's connection: lines in, lines out.
 
 use std::io::Read;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,9 +21,9 @@
 const READ_AWAY: usize = 128 * 1024;
 
 /// Serves a connection that has been accepted.
-pub fn serve(gate: Rc<Gate>, stream: Async<TcpStream>, peer: SocketAddr) {
+pub fn serve(gate: Rc<Gate>, stream: Async<TcpStream>) {
     let (client, outbox) = gate.client();
-    gate.input(Input::ClientUp { client, peer: peer.ip() });
+    gate.input(Input::ClientUp { client });
     gate.spawn(drive(gate.clone(), client, stream, outbox));
 }
 
