What is given up gets its answer at once, with a time to come back

Need: whatever the decisions give up on is answered at once, with a time to come back where allowed.

--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -526,12 +526,12 @@
         self.calls.insert(id, call);
         // Guards against calls that come with next to no time left, as after this process stood still.
         if margin + SWEEP > left {
-            return self.give_up(id, Duration::ZERO);
+            return self.give_up(id);
         }
         // Guards against a flood to one number: sets up nothing while its lines were just seen busy. Could do
         // harm to a number with one short call after another.
         if busy {
-            return self.give_up(id, self.settings.limits.max_retry_after);
+            return self.give_up(id);
         }
         if !self.offer_held(now) {
             self.place(now, id);
@@ -567,8 +567,10 @@
     }
 
     /// The one final answer of a call that goes no further.
-    fn give_up(&mut self, call: CallId, retry_after: Duration) {
+    fn give_up(&mut self, call: CallId) {
         let Some(c) = self.calls.get(&call) else { return };
+        let limits = &self.settings.limits;
+        let retry_after = if limits.retry_after { limits.max_retry_after } else { Duration::ZERO };
         let refusable = match (c.effect, c.maybe_ran) {
             (Effect::Safe, _) | (_, None) => c.out.is_none() || c.effect == Effect::Safe,
             (Effect::Keyed { group, .. }, Some(_)) => group == RepeatGroup::All && c.out.is_none(),
@@ -582,6 +584,18 @@
         self.forget(call);
     }
 
+    /// Whether the call can go nowhere any more: it has had its attempts, or may have run and must not run again.
+    /// Guards against holding what nobody works at; such a call gets its answer at once.
+    fn is_hopeless(&self, now: Time, call: CallId) -> bool {
+        let Some(c) = self.calls.get(&call).filter(|c| c.out.is_none() && !c.standing) else { return false };
+        let ran = match (c.effect, c.maybe_ran) {
+            (Effect::Safe, _) | (_, None) => false,
+            (Effect::Unsafe, Some(_)) => true,
+            (Effect::Keyed { window, .. }, Some((when, _))) => now.since(when) + SWEEP >= window,
+        };
+        ran || c.attempts >= self.settings.limits.max_attempts
+    }
+
     /// A server gave a sign of life for one of its set-ups.
     fn answered(&mut self, now: Time, id: ServerId, call: CallId, took: Option<Duration>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
@@ -654,10 +668,8 @@
         }
         if done || stood {
             self.forget(call);
-        } else if note == Note::NumberBusy {
-            self.give_up(call, self.settings.limits.max_retry_after);
-        } else if self.calls.get(&call).is_some_and(|c| c.attempts >= self.settings.limits.max_attempts) {
-            self.give_up(call, Duration::ZERO);
+        } else if note == Note::NumberBusy || self.is_hopeless(now, call) {
+            self.give_up(call);
         } else {
             self.held.extend(self.calls.get(&call).map(Self::place_in_line));
         }
@@ -827,11 +839,12 @@
             }
         }
         self.call_off(now);
-        let due = self.calls.iter().filter(|(_, c)| !c.standing && c.answer_by <= now);
+        let ends = |id: &CallId, c: &Call| c.answer_by <= now || self.is_hopeless(now, *id);
+        let due = self.calls.iter().filter(|(id, c)| !c.standing && ends(id, c));
         // An attempt that is out was timed to end a little before; its outcome gets a few sweeps to come in.
         let due = due.filter(|(_, c)| c.out.is_none() || c.answer_by.plus(c.margin / 2) <= now);
         for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.give_up(id, Duration::ZERO);
+            self.give_up(id);
         }
         if self.settings.discovery == Discovery::Ask {
             let pause = self.settings.rules.ask_within / ASK_SHARE;
--- a/crates/fawnrouter/tests/symptoms.rs
+++ b/crates/fawnrouter/tests/symptoms.rs
@@ -248,3 +248,43 @@
         assert!(!overtaken(s, 101).1.iter().any(|a| matches!(a, Action::Cancel { .. })));
     }
 }
+
+#[test]
+fn a_call_that_must_not_run_twice_and_may_have_run_fails_at_once() {
+    let mut s = settings();
+    s.classes[0].effect = Effect::Unsafe;
+    let mut g = Gateway::with_servers(s, 2);
+    g.tell(Event::Call(call(1, 0, 0)));
+    assert!(g.closes(1, 0, 70, Outcome::Reset).contains(&Action::Fail(CallId(1))));
+    // One that certainly has not run goes on.
+    g.tell(Event::Call(call(2, 0, 0)));
+    assert_eq!(issued(&g.closes(2, 0, 70, Outcome::ConnectFailed)), [(2, 71)]);
+}
+
+#[test]
+fn a_call_whose_repeats_are_no_longer_recognised_is_given_up_then_and_not_at_its_deadline() {
+    let mut s = settings();
+    s.classes[0].effect = Effect::Keyed { group: RepeatGroup::All, window: ms(800) };
+    let mut g = Gateway::with_servers(s, 1);
+    g.tell(Event::Call(call(1, 0, 0)));
+    g.pass(ms(100));
+    g.closes(1, 0, 70, Outcome::Reset);
+    g.tell(Event::List { kind: ListKind::Changes, entries: vec![entry(70, ServerState::Draining)] });
+    let ends = g.pass(ms(900));
+    let (at, _) = ends.iter().find(|(_, a)| finals([a]) == [1]).expect("it is over");
+    assert!(g.now.since(*at) >= ms(150), "right after the 800 ms");
+}
+
+#[test]
+fn what_is_given_up_names_a_time_to_come_back_where_callers_are_told_one() {
+    for (told, wait) in [(true, ms(2000)), (false, ms(0))] {
+        let mut s = settings();
+        s.limits.retry_after = told;
+        let mut g = Gateway::with_servers(s, 1);
+        g.tell(Event::Call(call(1, 0, 0)));
+        g.tell(Event::Call(call(2, 0, 0)));
+        let refusals: Vec<Action> = g.pass(ms(3000)).into_iter().map(|(_, a)| a).collect();
+        let refused = Action::Refuse { call: CallId(2), retry_after: wait };
+        assert!(refusals.contains(&refused), "{refusals:?}");
+    }
+}
