One more set-up at the pace of trials once all in line have waited too long

Change: when every own set-up in line has waited for 0.2 of the aim, one more goes at a fifth of the usual rate, cut short as a trial; its answer shows that the others are lost, and they are called off. Could harm: at a switch that hangs each gateway sends this much more; bounded by the usual rate, so that large fleets, where a gateway sends one in seconds, send none within a try.

--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -293,14 +293,17 @@
     /// Guards against a far queue that feeds itself (repeats, work on given-up set-ups, answers behind
     /// set-ups): no more is sent while own set-ups wait for longer than a share of the aim, or more are out
     /// than it answered lately in that time. Also holds back during stalls and hangs. It could do harm where
-    /// the network alone takes that long; then one set-up at a time still goes.
+    /// the network alone takes that long; then one set-up at a time still goes. Once all of them have waited that
+    /// long, one more goes at the pace of trials: its answer shows whether theirs are lost.
     fn has_room(&self, now: Time, aim: Duration) -> bool {
         let far = aim.mul_f64(FAR_SHARE);
         let rate = self.answered.len() as f64 / RATE_SPAN.as_secs_f64();
         let quick = self.mean_delay.is_some_and(|d| d < far.as_secs_f64());
         let most = (rate * far.as_secs_f64() * 2.0).max(if quick { 2.0 } else { 1.0 });
-        let oldest = self.in_line().next().map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
-        oldest < far && (self.in_line().count() as f64) < most
+        let age = |at: Option<&(Time, CallId)>| at.map_or(Duration::ZERO, |(sent, _)| now.since(*sent));
+        let newest = age(self.in_line().last());
+        let trial = newest >= far && newest.as_secs_f64() * TRIAL_PACE * self.usual >= 1.0;
+        trial || age(self.in_line().next()) < far && (self.in_line().count() as f64) < most
     }
 
     /// Leaves a server to single trials at a pace, until a set-up stands. Guards against hangs, dead machines
@@ -805,7 +808,9 @@
     fn issue(&mut self, now: Time, id: CallId, server: ServerId) {
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let mut within = c.answer_by.since(now);
-        if s.suspect {
+        if s.suspect
+            || s.in_line().next().is_some_and(|(sent, _)| now.since(*sent) >= c.aim.mul_f64(FAR_SHARE))
+        {
             within = within.min(c.aim.mul_f64(TRIAL_CUT));
         }
         if let Some(voice) = &mut self.voice {
--- a/crates/fawnrouter/tests/symptoms.rs
+++ b/crates/fawnrouter/tests/symptoms.rs
@@ -288,3 +288,25 @@
         assert!(refusals.contains(&refused), "{refusals:?}");
     }
 }
+
+#[test]
+fn when_all_set_ups_in_line_have_waited_too_long_one_more_shows_whether_answers_are_lost() {
+    let mut g = Gateway::with_servers(settings(), 1);
+    // 10 a second stand in 20 ms.
+    g.serve(100..160, 0, 100, |_| Some(20));
+    for id in [1, 2] {
+        assert_eq!(issued(&g.tell(Event::Call(call(id, 0, 0)))), [(id, 70)]);
+    }
+    // Both answers are lost. Nothing goes before 0.2 of the aim, then one at a time at the pace of trials.
+    g.pass(ms(410));
+    assert!(issued(&g.tell(Event::Call(call(3, 0, 0)))).is_empty());
+    assert!(issued(g.pass(ms(80)).iter().map(|(_, a)| a)).is_empty());
+    let trials = g.pass(ms(300));
+    assert_eq!(issued(trials.iter().map(|(_, a)| a)), [(3, 70)]);
+    let cut = |a: &Action| matches!(a, Action::Issue { within, .. } if *within <= ms(1000));
+    assert!(trials.iter().any(|(_, a)| cut(a)), "a trial is cut short");
+    g.stands(3, 0, 70, ms(20));
+    let off = g.pass(ms(30)).into_iter().filter(|(_, a)| matches!(a, Action::Cancel { .. })).count();
+    assert_eq!(off, 2, "it has overtaken both");
+    assert!(!issued(&g.tell(Event::Call(call(4, 0, 0)))).is_empty(), "and the server is open");
+}
