--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -53,8 +53,8 @@
 const USUAL_TICKS: u32 = 100;
 /// A trial is given this share of the aim: one that waits is sent again, which is work again.
 const TRIAL_CUT: f64 = 0.5;
-/// A set-up answered though sent this share of the shortest aim later than another shows that the other's answer
-/// is lost. A share: what is late at one site's aims is nothing at another's.
+/// A set-up answered though sent this share of the shortest aim later than another shows that the
+/// other's answer is lost. A share: what is late at one site's aims is nothing at another's.
 const OVERTAKE_SHARE: f64 = 0.05;
 /// So many set-ups in a row that nobody answered, or that found its processor full, make a server suspect.
 const MISSES: u32 = 2;
@@ -293,8 +293,8 @@
     /// Guards against a far queue that feeds itself (repeats, work on given-up set-ups, answers behind
     /// set-ups): no more is sent while own set-ups wait for longer than a share of the aim, or more are out
     /// than it answered lately in that time. Also holds back during stalls and hangs. It could do harm where
-    /// the network alone takes that long; then one set-up at a time still goes. Once all of them have waited that
-    /// long, one more goes at the pace of trials: its answer shows whether theirs are lost.
+    /// the network alone takes that long; then one set-up at a time still goes. Once all of them have waited
+    /// that long, one more goes at the pace of trials: its answer shows whether theirs are lost.
     fn has_room(&self, now: Time, aim: Duration) -> bool {
         let far = aim.mul_f64(FAR_SHARE);
         let rate = self.answered.len() as f64 / RATE_SPAN.as_secs_f64();
@@ -587,8 +587,8 @@
         self.forget(call);
     }
 
-    /// Whether the call can go nowhere any more: it has had its attempts, or may have run and must not run again.
-    /// Guards against holding what nobody works at; such a call gets its answer at once.
+    /// Whether the call can go nowhere any more: it has had its attempts, or may have run and must not run
+    /// again. Guards against holding what nobody works at; such a call gets its answer at once.
     fn is_hopeless(&self, now: Time, call: CallId) -> bool {
         let Some(c) = self.calls.get(&call).filter(|c| c.out.is_none() && !c.standing) else { return false };
         let ran = match (c.effect, c.maybe_ran) {
@@ -860,8 +860,9 @@
         }
     }
 
-    /// Calls off attempts whose answers are lost, so that their calls go again while there is time. Guards against
-    /// lost and silent answers, which would cost the whole try. Could do harm at servers that do not work in order.
+    /// Calls off attempts whose answers are lost, so that their calls go again while there is time. Guards
+    /// against lost and silent answers, which would cost the whole try. Could do harm at servers that do not
+    /// work in order.
     fn call_off(&mut self, now: Time) {
         let again = now.plus(self.settings.rules.release_guard + SWEEP);
         for id in self.servers.values().flat_map(Server::overtaken) {
