Free circuits told by switches reach the decisions; no attempt waits for nothing

Checked with every line traced beside the module's readings. First: switches send LOAD (free:87;size:87) on each connection and at each change, and link_message in crates/fawnrouter-node/src/node.rs dropped it: after one group_full the module's free lines were its own count for good, and pace() kept it at 1.3 to 4 set-ups a second. Second: a call's fifth attempt at one switch waited 500 ms, as each of the four connections had carried one (Link::spent) and Links::wanting in links.rs counted free connections only; the failed wait made the switch a suspect. Ruled out: dials (connections up at once).

--- a/crates/fawnrouter-bootinfo/src/lib.rs
+++ b/crates/fawnrouter-bootinfo/src/lib.rs
@@ -35,27 +35,45 @@
     #[must_use]
     pub fn report(&self, load: &Value) -> Report {
         let mut report = Report::default();
-        let mut set = |name: &str, value: &Value| {
-            let Some(x) = value.as_f64().filter(|x| x.is_finite() && *x >= 0.0) else { return };
-            match name {
-                "free" => report.free = Some(x),
-                "size" => report.size = Some(x),
-                "cpu_share" => report.utilisation = Some(x),
-                "svc_ms" => report.wait = Duration::try_from_secs_f64(x / 1e3).ok(),
-                "can_take" => report.can_take = Some(x),
-                "hold_back" => report.hold_back = Some(x),
-                _ => {}
-            }
-        };
         match load {
-            Value::Object(pairs) => pairs.iter().for_each(|(name, value)| set(name, value)),
-            Value::Array(values) => self.report.iter().zip(values).for_each(|(name, value)| set(name, value)),
+            Value::Object(pairs) => {
+                pairs.iter().for_each(|(name, value)| note(&mut report, name, value.as_f64()))
+            }
+            Value::Array(values) => self
+                .report
+                .iter()
+                .zip(values)
+                .for_each(|(name, value)| note(&mut report, name, value.as_f64())),
             _ => {}
         }
         report
     }
 }
 
+/// A load report as the platform's lines have it: `free:87;size:87`. What is no figure is left out.
+#[must_use]
+pub fn told_report(text: &str) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(';').filter_map(|pair| pair.split_once(':')) {
+        note(&mut report, name, value.parse().ok());
+    }
+    report
+}
+
+/// Takes down one figure of a report; negative ones are figures that were not told.
+fn note(report: &mut Report, name: &str, value: Option<f64>) {
+    let Some(x) = value.filter(|x| x.is_finite() && *x >= 0.0) else { return };
+    match name {
+        "free" => report.free = Some(x),
+        "size" => report.size = Some(x),
+        "cpu_share" => report.utilisation = Some(x),
+        "svc_ms" => report.wait = Duration::try_from_secs_f64(x / 1e3).ok(),
+        "can_take" => report.can_take = Some(x),
+        "hold_back" => report.hold_back = Some(x),
+        _ => {}
+    }
+}
+
 /// What the settings say of connections and of what a real gateway may hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sockets {
@@ -194,3 +212,17 @@
 fn small(value: &Value) -> Option<u32> {
     value.as_u64().and_then(|n| u32::try_from(n).ok())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_in_a_line_is_read_as_in_the_simulators_list_and_nonsense_is_left_out() {
+        let names = Names { report: vec!["free".into(), "size".into()], ..Names::default() };
+        let listed = names.report(&json!([3, 87]));
+        assert_eq!(told_report("free:3;size:87"), listed);
+        assert_eq!((listed.free, listed.size), (Some(3.0), Some(87.0)));
+        assert_eq!(told_report("free:-1;size:NaN;;x;can_take:inf;odd:1"), Report::default());
+    }
+}
--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -1,8 +1,8 @@
 //! Connections to core switches: which set-up goes on which, how many there are, when a lost one is opened again.
 //!
 //! Several to each, since one spoilt answer makes a connection useless with all set-ups on it. A set-up goes on the
-//! connection with the fewest, and never on one that carried an attempt of the same call: the id does not tell
-//! attempts apart, the connection does.
+//! connection with the fewest, and never on one that carried an attempt of the same call whose end the core switch has
+//! not told: the id does not tell attempts apart, the connection does.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -54,12 +54,15 @@
 }
 
 impl Link {
-    /// An attempt on it is over; nothing more of this call concerns it but what crossed.
-    pub fn spend(&mut self, now: Time, tag: Tag) {
+    /// An attempt on it is over. Unless the core switch has told its end, something may still come of it.
+    pub fn spend(&mut self, now: Time, tag: Tag, told: bool) {
         if !self.open.remove(&tag) {
             return;
         }
         self.used = now;
+        if told {
+            return;
+        }
         self.spent.push_back((now, tag));
         while self.spent.len() > SPENT.1 || self.spent.front().is_some_and(|(t, _)| now.since(*t) > SPENT.0) {
             self.spent.pop_front();
@@ -179,8 +182,10 @@
         let wanted = match need {
             Need::None if site.waiting.is_empty() && site.owed.is_empty() => 0,
             Need::None | Need::Releases => 1,
+            // What waits although some are up can use none of those: all have carried its call.
+            Need::SetUps if !site.waiting.is_empty() => (up + site.waiting.len()).clamp(KEPT, MOST),
             // One more than are busy: the next set-up finds one of its own.
-            Need::SetUps => (up - free + site.waiting.len() + 1).clamp(KEPT, MOST),
+            Need::SetUps => (up - free + 1).clamp(KEPT, MOST),
         };
         // Each core switch has its part of the whole.
         let part = (self.most / self.sites.len().max(1)).max(1);
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -539,7 +539,7 @@
             None => self.links.stop_waiting(attempt.server, tag),
             Some((link, _)) => {
                 if let Some(l) = self.links.links.get_mut(&link) {
-                    l.spend(self.now, tag);
+                    l.spend(self.now, tag, false);
                     self.tell_switch(link, &Message::new(Verb::Finish, tag).cause(cause::CLEARING));
                 } else {
                     self.release(attempt.server, tag, cause::CLEARING);
@@ -549,15 +549,21 @@
         self.due.clear(Key::Attempt(tag));
     }
 
-    /// Tells the controller how the attempt that was out ended.
+    /// The attempt that was out ended without the core switch's word.
     fn attempt_ended(&mut self, tag: Tag, outcome: Outcome, note: Note) {
+        self.attempt_over(tag, outcome, note, Report::default(), false);
+    }
+
+    /// Tells the controller how the attempt that was out ended; `told`: by the core switch's word, so that nothing more
+    /// comes of it.
+    fn attempt_over(&mut self, tag: Tag, outcome: Outcome, note: Note, report: Report, told: bool) {
         let now = self.now;
         let Some(attempt) = self.calls.open.get_mut(&tag).and_then(|c| c.out.take()) else { return };
         self.due.clear(Key::Attempt(tag));
         match attempt.sent {
             Some((link, _)) => {
                 if let Some(link) = self.links.links.get_mut(&link) {
-                    link.spend(now, tag);
+                    link.spend(now, tag, told);
                 }
             }
             None => self.links.stop_waiting(attempt.server, tag),
@@ -572,7 +578,7 @@
             outcome,
             note,
             took: now.since(since),
-            report: Report::default(),
+            report,
         });
     }
 
@@ -689,6 +695,8 @@
         if let Some(s) = self.servers.get_mut(&server) {
             s.life.heard(now);
         }
+        // Free circuits and the like come by themselves, or with an answer.
+        let report = message.opts.get("load").and_then(|l| l.text()).map(fawnrouter_bootinfo::told_report);
         let here = self
             .calls
             .open
@@ -718,7 +726,8 @@
                         102 => Outcome::Moot,
                         _ => Outcome::Reset,
                     };
-                    return self.attempt_ended(tag, outcome, note);
+                    let told = outcome != Outcome::Reset;
+                    return self.attempt_over(tag, outcome, note, report.unwrap_or_default(), told);
                 }
                 let standing = self.calls.standing.get(&tag).is_some_and(|s| s.server == server);
                 if standing {
@@ -734,10 +743,16 @@
                     && asked
                 {
                     let (ok, took) = (message.rc == Some(TEST_PASSED), now.since(sent));
-                    self.events.push_back(Event::Probed { server, ok, took, report: Report::default() });
+                    let report = report.unwrap_or_default();
+                    self.events.push_back(Event::Probed { server, ok, took, report });
+                }
+            }
+            Verb::Load => {
+                if let Some(report) = report {
+                    self.events.push_back(Event::Probed { server, ok: true, took: Duration::ZERO, report });
                 }
             }
-            Verb::Start | Verb::Pending | Verb::Finished | Verb::Echo | Verb::Load | Verb::Other => {}
+            Verb::Start | Verb::Pending | Verb::Finished | Verb::Echo | Verb::Other => {}
         }
     }
 
@@ -831,7 +846,7 @@
         let Some(open) = self.drop_open(tag) else { return };
         if let Some((link, written)) = attempt.sent {
             if let Some(link) = self.links.links.get_mut(&link) {
-                link.spend(now, tag);
+                link.spend(now, tag, true);
             }
             self.events.push_back(Event::Standing {
                 call: CallId(tag.0),
--- a/crates/fawnrouter-node/tests/calls.rs
+++ b/crates/fawnrouter-node/tests/calls.rs
@@ -529,3 +529,48 @@
     assert!((1..=50).all(|tag| rig.told(tag).len() == 1));
     let _ = ClientId(0);
 }
+
+#[test]
+fn a_call_that_one_switch_fails_again_and_again_waits_for_no_connection() {
+    let mut rig = Rig::new(1);
+    let client = rig.connect();
+    rig.call(client, 7, 3000);
+    for n in 1..=5 {
+        let starts = rig.starts(7);
+        assert_eq!((starts.len(), rig.now_ms), (n, START_MS), "at once, whatever it has been on");
+        rig.finish(starts[n - 1].1, 7, 17);
+    }
+    assert_eq!(rig.told(7), [REFUSED], "after the most attempts that there may be");
+}
+
+#[test]
+fn a_call_whose_attempts_all_broke_off_gets_a_fresh_connection() {
+    let mut rig = Rig::new(1);
+    let client = rig.connect();
+    rig.call(client, 7, 8000);
+    for n in 1..=4 {
+        let (_, link) = *rig.starts(7).last().unwrap();
+        assert_eq!(rig.starts(7).len(), n);
+        // Broken off by the switch's word that is no proof of an end.
+        rig.switch_says(link, r#"{"verb":"STARTED","tag":"0000000000000007","opts":{}}"#);
+        rig.pass(1200);
+    }
+    let links: std::collections::BTreeSet<LinkId> = rig.starts(7).into_iter().map(|(_, l)| l).collect();
+    assert_eq!(links.len(), rig.starts(7).len(), "no connection twice");
+}
+
+#[test]
+fn free_circuits_that_a_switch_tells_reach_the_decisions() {
+    let mut rig = Rig::new(1);
+    let client = rig.connect();
+    let link = rig.standing(client, 7);
+    let load = |free: u32| {
+        format!(r#"{{"verb":"LOAD","tag":"0000000000000000","opts":{{"load":"free:{free};size:87"}}}}"#)
+    };
+    rig.switch_says(link, &load(0));
+    rig.call(client, 8, 3000);
+    assert!(rig.starts(8).is_empty(), "no circuit is free");
+    rig.switch_says(link, &load(40));
+    rig.pass(250);
+    assert_eq!(rig.starts(8).len(), 1);
+}
