--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -239,16 +239,20 @@
                 shown,
             )
         };
+        // A gateway may read the file before this task goes on: what it permits counts from before the writing, what
+        // it ends from after it.
+        let ready = |line: &SwitchLine| line.state == SwitchState::Ready;
+        for (id, _) in shown.iter().filter(|(_, line)| ready(line)) {
+            self.tap.fact(Seen::Told { switch: *id, listed: Listed::Ready });
+        }
         // A disk that is busy must not hold up the taps.
         blocking::unblock(move || write_list(&folder, version, &list)).await?;
         let mut registry = self.registry.borrow_mut();
         for id in registry.published.keys().filter(|id| !shown.contains_key(id)) {
             self.tap.fact(Seen::Told { switch: *id, listed: Listed::Closed });
         }
-        for (id, line) in &shown {
-            let ready = line.state == SwitchState::Ready;
-            let listed = if ready { Listed::Ready } else { Listed::Closed };
-            self.tap.fact(Seen::Told { switch: *id, listed });
+        for (id, _) in shown.iter().filter(|(_, line)| !ready(line)) {
+            self.tap.fact(Seen::Told { switch: *id, listed: Listed::Closed });
         }
         registry.published = shown;
         Ok(())
