--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -140,7 +140,7 @@
         fit.min_by_key(|(id, l)| (l.open.len(), *id)).map_or(Pick::Wait, |(id, _)| Pick::On(id))
     }
 
-    /// The connection for a release: the set-up's if it is still up, else any.
+    /// A connection for a release: any that is up, as a standing call is bound to none.
     pub fn for_release(&self, server: ServerId) -> Option<LinkId> {
         self.of(server).find(|(_, l)| l.up).map(|(id, _)| id)
     }
@@ -239,6 +239,13 @@
         self.sites.get_mut(&server).map(|s| s.waiting.drain(..).collect()).unwrap_or_default()
     }
 
+    /// This set-up waits for the next connection that comes up.
+    pub fn wait(&mut self, server: ServerId, tag: Tag) {
+        if let Some(site) = self.sites.get_mut(&server) {
+            site.waiting.push_back(tag);
+        }
+    }
+
     pub fn stop_waiting(&mut self, server: ServerId, tag: Tag) {
         if let Some(site) = self.sites.get_mut(&server) {
             site.waiting.retain(|t| *t != tag);
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -500,9 +500,7 @@
         match self.links.pick(server, tag) {
             Pick::On(link) => self.send(tag, link),
             Pick::Wait => {
-                if let Some(site) = self.links.sites.get_mut(&server) {
-                    site.waiting.push_back(tag);
-                }
+                self.links.wait(server, tag);
                 self.due.set(Key::Attempt(tag), until.min(now.plus(self.sockets.dial_timeout)));
             }
         }
@@ -638,11 +636,7 @@
         for tag in self.links.take_waiting(server) {
             match self.links.pick(server, tag) {
                 Pick::On(link) => self.send(tag, link),
-                Pick::Wait => {
-                    if let Some(site) = self.links.sites.get_mut(&server) {
-                        site.waiting.push_back(tag);
-                    }
-                }
+                Pick::Wait => self.links.wait(server, tag),
             }
         }
         self.tend(server);
@@ -834,14 +828,12 @@
     fn stands(&mut self, tag: Tag, attempt: Attempt, blob: String) {
         let now = self.now;
         let Some(deadline) = self.calls.open.get(&tag).map(|c| c.deadline) else { return };
-        if now >= deadline || self.calls.standing.len() >= MAX_STANDING {
-            // Too late for the caller, which hears nothing more; or no room, which is refused.
-            if now >= deadline {
-                self.lapse(tag);
-            } else {
-                self.answer(tag, Message::new(Verb::Finish, tag).cause(cause::CONGESTION));
-            }
-            return;
+        if now >= deadline {
+            // Too late for the caller, which hears nothing more.
+            return self.lapse(tag);
+        }
+        if self.calls.standing.len() >= MAX_STANDING {
+            return self.answer(tag, Message::new(Verb::Finish, tag).cause(cause::CONGESTION));
         }
         let Some(open) = self.drop_open(tag) else { return };
         if let Some((link, written)) = attempt.sent {
@@ -987,11 +979,8 @@
         }
         self.counters.lapsed += 1;
         self.withdraw(tag);
-        let attempt = self.calls.open.get(&tag).and_then(|c| c.out);
         self.events.push_back(Event::Lapsed(CallId(tag.0)));
-        if attempt.is_some() {
-            self.attempt_ended(tag, Outcome::Cancelled, Note::None);
-        }
+        self.attempt_ended(tag, Outcome::Cancelled, Note::None);
         self.drop_open(tag);
     }
 
--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -381,6 +381,17 @@
         Wanted { call, class, worth, aim, aim_left, left }
     }
 
+    /// Whether the call can go nowhere any more: it has had its attempts, or may have run and must not run
+    /// again. Guards against holding what nobody works at; such a call gets its answer at once.
+    fn is_hopeless(&self, now: Time, max_attempts: u32) -> bool {
+        let ran = match (self.effect, self.maybe_ran) {
+            (Effect::Safe, _) | (_, None) => false,
+            (Effect::Unsafe, Some(_)) => true,
+            (Effect::Keyed { window, .. }, Some((when, _))) => now.since(when) + SWEEP >= window,
+        };
+        self.out.is_none() && !self.standing && (ran || self.attempts >= max_attempts)
+    }
+
     /// Past its aim a call is worth its late share, once.
     fn discount_if_late(&mut self, now: Time) {
         if now > self.aim_at {
@@ -587,18 +598,6 @@
         self.forget(call);
     }
 
-    /// Whether the call can go nowhere any more: it has had its attempts, or may have run and must not run
-    /// again. Guards against holding what nobody works at; such a call gets its answer at once.
-    fn is_hopeless(&self, now: Time, call: CallId) -> bool {
-        let Some(c) = self.calls.get(&call).filter(|c| c.out.is_none() && !c.standing) else { return false };
-        let ran = match (c.effect, c.maybe_ran) {
-            (Effect::Safe, _) | (_, None) => false,
-            (Effect::Unsafe, Some(_)) => true,
-            (Effect::Keyed { window, .. }, Some((when, _))) => now.since(when) + SWEEP >= window,
-        };
-        ran || c.attempts >= self.settings.limits.max_attempts
-    }
-
     /// A server gave a sign of life for one of its set-ups.
     fn answered(&mut self, now: Time, id: ServerId, call: CallId, took: Option<Duration>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
@@ -671,7 +670,9 @@
         }
         if done || stood {
             self.forget(call);
-        } else if note == Note::NumberBusy || self.is_hopeless(now, call) {
+        } else if note == Note::NumberBusy
+            || self.calls.get(&call).is_some_and(|c| c.is_hopeless(now, self.settings.limits.max_attempts))
+        {
             self.give_up(call);
         } else {
             self.held.extend(self.calls.get(&call).map(Self::place_in_line));
@@ -844,8 +845,9 @@
             }
         }
         self.call_off(now);
-        let ends = |id: &CallId, c: &Call| c.answer_by <= now || self.is_hopeless(now, *id);
-        let due = self.calls.iter().filter(|(id, c)| !c.standing && ends(id, c));
+        let most = self.settings.limits.max_attempts;
+        let ends = |c: &Call| c.answer_by <= now || c.is_hopeless(now, most);
+        let due = self.calls.iter().filter(|(_, c)| !c.standing && ends(c));
         // An attempt that is out was timed to end a little before; its outcome gets a few sweeps to come in.
         let due = due.filter(|(_, c)| c.out.is_none() || c.answer_by.plus(c.margin / 2) <= now);
         for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
