Calls on a switch that stopped telling are over within 7 s of its last proof

Lines at fault: Life::heard in liveness.rs took any byte for a sign that calls stand, and took back refusals; Links::wanting opens no connection to a draining switch while one is up, so a refusal was seen only once all were broken, at T+5.9 s; then back-off 0.3 s and 1.5 s of refusals: T+7.9 s and more. The same way a new switch at the address of one that is gone kept the old one's calls alive for ever, and a release lost with a connection to a draining switch was never told again. Change: bytes and proofs are told apart; a connection is tried where proofs stay out or one was lost; 7.0 s without a proof and refused since is the end; gone and its address another's is the end at once. liveness.rs names each way and its bound.

--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -194,6 +194,11 @@
         if now < site.not_before { 0 } else { missing.min(DIALS.saturating_sub(opening)).min(room) }
     }
 
+    /// Whether one more connection may be tried, beyond those that are wanted: none is under way, and there is room.
+    pub fn may_knock(&self, server: ServerId) -> bool {
+        self.links.len() < self.most && self.of(server).all(|(_, l)| l.up)
+    }
+
     /// A connection is being opened.
     pub fn open(&mut self, now: Time, server: ServerId) -> LinkId {
         self.next += 1;
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -18,7 +18,7 @@
 use crate::boot::Boot;
 use crate::calls::{Attempt, Calls, MAX_STANDING, Open, Standing};
 use crate::links::{LinkId, Links, Need, Pick};
-use crate::liveness::{Life, Verdict};
+use crate::liveness::{Life, Sign, Verdict};
 use crate::pool::{Ids, Listed, Pool, entry};
 use crate::request::{self, Request, cause};
 use crate::seats::{Arrival, ClientId, Seats};
@@ -612,11 +612,8 @@
     /// Opens the connections that a core switch is short of.
     fn tend(&mut self, server: ServerId) {
         let need = self.need(server);
-        let within = self.sockets.dial_timeout;
         for _ in 0..self.links.wanting(self.now, server, need) {
-            let Some(address) = self.links.sites.get(&server).map(|s| s.address) else { return };
-            let link = self.links.open(self.now, server);
-            self.out.push(Output::OpenLink { link, address, within });
+            self.dial(server);
         }
         if let Some(site) = self.links.sites.get(&server)
             && self.now < site.not_before
@@ -625,11 +622,16 @@
         }
     }
 
+    /// Begins a connection.
+    fn dial(&mut self, server: ServerId) {
+        let Some(address) = self.links.sites.get(&server).map(|s| s.address) else { return };
+        let link = self.links.open(self.now, server);
+        self.out.push(Output::OpenLink { link, address, within: self.sockets.dial_timeout });
+    }
+
     fn link_up(&mut self, link: LinkId) {
         let Some(server) = self.links.up(self.now, link) else { return };
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.life.heard(self.now);
-        }
+        self.sign(server, Sign::Connected);
         for (tag, rc) in self.links.owed(server) {
             self.tell_switch(link, &Message::new(Verb::Finish, tag).cause(rc));
         }
@@ -668,7 +670,6 @@
                 self.attempt_ended(tag, Outcome::ConnectFailed, Note::None);
             }
         }
-        self.look_after(server);
     }
 
     /// A connection is no more: each set-up out on it has been reset, once. It may stand all the same, as an answer
@@ -676,19 +677,33 @@
     fn link_gone(&mut self, link: LinkId, failed: bool) {
         let unit = self.unit();
         let Some(gone) = self.links.down(self.now, link, failed, unit) else { return };
+        // What it wrote last may be lost with the connection, and comes again on the next one opened.
+        if gone.up
+            && (failed || self.need(gone.server) != Need::SetUps)
+            && let Some(s) = self.servers.get_mut(&gone.server)
+        {
+            s.life.lost();
+        }
         for tag in gone.open {
             self.attempt_ended(tag, Outcome::Reset, Note::None);
             self.release(gone.server, tag, cause::CLEARING);
         }
         self.tend(gone.server);
+        self.look_after(gone.server);
     }
 
     fn link_message(&mut self, link: LinkId, message: Message) {
         let Some(l) = self.links.links.get(&link) else { return };
         let (server, tag, now) = (l.server, message.tag, self.now);
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.life.heard(now);
-        }
+        let stood = self.calls.standing.get(&tag).is_some_and(|s| s.server == server);
+        self.sign(
+            server,
+            match message.verb {
+                Verb::Load => Sign::Works,
+                Verb::Finish if stood => Sign::Release,
+                _ => Sign::Byte,
+            },
+        );
         // Free circuits and the like come by themselves, or with an answer.
         let report = message.opts.get("load").and_then(|l| l.text()).map(fawnrouter_bootinfo::told_report);
         let here = self
@@ -723,8 +738,7 @@
                     let told = outcome != Outcome::Reset;
                     return self.attempt_over(tag, outcome, note, report.unwrap_or_default(), told);
                 }
-                let standing = self.calls.standing.get(&tag).is_some_and(|s| s.server == server);
-                if standing {
+                if stood {
                     self.tell_switch(link, &Message::new(Verb::Finished, tag));
                     self.falls(tag, rc);
                 } else if !self.calls.open.contains_key(&tag) && !self.calls.ended.has(tag) {
@@ -750,6 +764,12 @@
         }
     }
 
+    fn sign(&mut self, server: ServerId, sign: Sign) {
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.life.sign(self.now, sign);
+        }
+    }
+
     /// Sends a test; `false` if there is no connection for it.
     fn probe(&mut self, server: ServerId, asked: bool) -> bool {
         let Some(link) = self.links.for_release(server) else { return false };
@@ -769,11 +789,15 @@
             return self.maybe_forget(server);
         }
         match s.life.judge(self.now) {
-            Verdict::Wait(until) => self.due.set(Key::Life(server), until),
-            Verdict::Ask(until) => {
-                self.probe(server, false);
-                self.tend(server);
-                self.due.set(Key::Life(server), until);
+            Verdict::Look { ask, knock, at } => {
+                if ask {
+                    self.probe(server, false);
+                    self.tend(server);
+                }
+                if knock && self.links.may_knock(server) {
+                    self.dial(server);
+                }
+                self.due.set(Key::Life(server), at);
             }
             Verdict::Dead => {
                 self.due.clear(Key::Life(server));
@@ -1136,7 +1160,7 @@
                 life: Life::new(self.now),
             });
             let before = s.listed.replace(listed.clone());
-            s.life.listed(true);
+            s.life.listed(self.now, Some(listed.state));
             self.links.site(server, listed.address).address = listed.address;
             if before.is_some_and(|b| b.started != listed.started) {
                 self.cut(server, listed.started, "has started anew");
@@ -1145,12 +1169,20 @@
         let gone: Vec<ServerId> = self.servers.keys().copied().filter(|s| !seen.contains(s)).collect();
         self.events.push_back(Event::List { kind, entries });
         self.decide();
+        // A new core switch listens where one listened that is gone: nothing there is the old one's any more. Guards
+        // against its answers and connections being taken for signs of the old one's life.
+        let taken: BTreeSet<SocketAddr> = pool.listed.values().map(|l| l.address).collect();
+        for server in gone.iter().copied() {
+            if self.links.sites.get(&server).is_some_and(|site| taken.contains(&site.address)) {
+                self.cut(server, None, "is gone and its address is another's");
+            }
+        }
         for server in self.servers.keys().copied().collect::<Vec<_>>() {
             if gone.contains(&server)
                 && let Some(s) = self.servers.get_mut(&server)
             {
                 s.listed = None;
-                s.life.listed(false);
+                s.life.listed(self.now, None);
             }
             // What has not been written yet must not go there any more.
             if self.need(server) != Need::SetUps {
--- a/crates/fawnrouter-node/tests/calls.rs
+++ b/crates/fawnrouter-node/tests/calls.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use fawnrouter_node::jsonl::Verb;
+use fawnrouter_node::jsonl::{Message, Verb};
 use fawnrouter_node::{ClientId, Input, LinkEnd, LinkId, Output};
 
 const REFUSED: (Verb, Option<i64>) = (Verb::Finish, Some(34));
@@ -574,3 +574,49 @@
     rig.pass(250);
     assert_eq!(rig.starts(8).len(), 1);
 }
+
+#[test]
+fn callers_hear_in_time_of_a_process_that_stopped_but_still_passes_tests_on_old_connections() {
+    for state in ["Draining", "Ready"] {
+        let mut rig = Rig::new(2);
+        let client = rig.connect();
+        let link = rig.standing(client, 7);
+        let port = rig.links[&link];
+        let state_of = |p| if p == port && state == "Draining" { "Terminating" } else { "Ready" };
+        rig.input(Input::Known(pool(
+            2,
+            &[("s-1", 7001, state_of(7001), 0), ("s-2", 7002, state_of(7002), 0)],
+        )));
+        rig.refusing.push(port);
+        let mut answered = 0;
+        for _ in 0..70 {
+            rig.pass(100);
+            let echoes: Vec<Message> = rig.to_links().into_iter().map(|(_, _, m)| m).collect();
+            for echo in echoes.iter().filter(|m| m.verb == Verb::Echo).skip(answered) {
+                answered += 1;
+                rig.switch_says(
+                    link,
+                    &format!(r#"{{"verb":"ECHOED","tag":"{}","opts":{{}},"rc":1}}"#, echo.tag),
+                );
+            }
+        }
+        assert!(answered > 0 && rig.links.contains_key(&link), "the old connection stays up");
+        assert_eq!(rig.told(7), [(Verb::Started, None), (Verb::Finish, Some(41))], "{state}");
+    }
+}
+
+#[test]
+fn a_new_switch_at_the_address_of_one_that_is_gone_keeps_none_of_its_calls_alive() {
+    let mut rig = Rig::with(&[("s-1", 7001, "Ready", 0), ("s-2", 7002, "Ready", 0)]);
+    let client = rig.connect();
+    let link = rig.standing(client, 7);
+    let port = rig.links[&link];
+    let other = [("s-1", 7001), ("s-2", 7002)].into_iter().find(|(_, p)| *p != port).unwrap();
+    // The old one's connections break, and what comes up in their place is the new one's.
+    rig.all_broken(port);
+    rig.pass(600);
+    assert!(rig.up.keys().any(|l| rig.links[l] == port), "connected to the newcomer");
+    assert_eq!(rig.told(7), [(Verb::Started, None)]);
+    rig.input(Input::Known(pool(2, &[(other.0, other.1, "Ready", 0), ("s-3", port, "Ready", START_MS)])));
+    assert_eq!(rig.told(7), [(Verb::Started, None), (Verb::Finish, Some(41))]);
+}
