--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -220,6 +220,8 @@
     pressed: bool,
     /// A set-up is overtaken by one sent this much later.
     overtake: Duration,
+    /// Since when it is gone.
+    gone: Option<Time>,
 }
 
 impl Server {
@@ -911,12 +913,23 @@
             voice.observe(now, &mut servers);
         }
         self.numbers.retain(|_, log| now.since(log.last) < NUMBER_MEMORY);
+        self.forget_gone(now);
         self.tell_news();
         for _ in 0..1 + (self.usual_rate() * DRAWS_S) as u32 {
             self.offer_held(now);
         }
     }
 
+    /// Forgets servers that are gone, once no call of theirs can matter (those out, and those that may have run
+    /// there) and no replacement takes its pace from them. Guards against memory that grows with each release. Could
+    /// do harm to one that comes back later under its old id: it starts anew, as cold.
+    fn forget_gone(&mut self, now: Time) {
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let keep = self.settings.rules.cold_time.max(longest);
+        let past = |s: &Server| s.gone.is_some_and(|since| now.since(since) > keep) && s.waiting.is_empty();
+        self.servers.retain(|_, s| !past(s));
+    }
+
     /// Tells a few other gateways, drawn anew each time, what delays were seen here. Among hundreds of them
     /// each has too few samples of its own; messages may all be lost, then it goes by those alone.
     fn tell_news(&mut self) {
@@ -996,6 +1009,9 @@
             }
             s.entry = entry;
         }
+        for s in self.servers.values_mut() {
+            s.gone = (s.entry.state == ServerState::Gone).then(|| s.gone.unwrap_or(now));
+        }
         self.listed = true;
     }
 }
--- a/crates/fawnrouter/src/brain_tests.rs
+++ b/crates/fawnrouter/src/brain_tests.rs
@@ -163,3 +163,63 @@
     s.answered_up_to = sent.plus(OVERTAKE + Duration::from_nanos(1));
     assert_eq!(s.in_line().count(), 0);
 }
+
+#[test]
+fn a_hundred_replacements_leave_no_servers_behind_and_the_listed_stay() {
+    let ms = Duration::from_millis;
+    let class = ClassSettings {
+        name: "a class".into(),
+        aim: ms(2000),
+        deadline: ms(9000),
+        points: 1.0,
+        late_share: 0.25,
+        effect: Effect::Safe,
+        pools: None,
+    };
+    let rules = Rules {
+        drain_grace: ms(500),
+        cold_from: 0.3,
+        cold_time: ms(14_000),
+        fall_multiple: 2.0,
+        fall_time: ms(1000),
+        release_guard: ms(300),
+        ask_within: ms(10_000),
+    };
+    let limits = Limits {
+        max_attempts: 3,
+        cancel: true,
+        peers: false,
+        probes: false,
+        retry_after: true,
+        max_retry_after: ms(2000),
+    };
+    let settings = Settings {
+        gateways: 1,
+        me: PeerId(0),
+        classes: vec![class],
+        tenants: vec![],
+        over_share_worth: 0.2,
+        rules,
+        limits,
+        topology: Topology::Pools,
+        discovery: Discovery::Push,
+        resend: None,
+        tick: ms(5),
+    };
+    let keep = settings.rules.cold_time;
+    let mut controller = Controller::new(settings, 1).unwrap();
+    let (mut now, mut out) = (Time::from_nanos(1_000_000_000), Vec::new());
+    for n in 0..100 {
+        let state = ServerState::Ready;
+        let entry = |id| ServerEntry { id: ServerId(id), state, ..ServerEntry::default() };
+        let entries = vec![entry(0), entry(1 + n)];
+        controller.handle(now, Event::List { kind: ListKind::Whole, entries }, &mut out);
+        for _ in 0..20 {
+            now = now.plus(TICK);
+            controller.handle(now, Event::Timer(TICK_TIMER), &mut out);
+        }
+    }
+    let recent = keep.as_secs_f64() / (20.0 * TICK.as_secs_f64());
+    assert!(controller.servers.len() <= 2 + recent.ceil() as usize, "{}", controller.servers.len());
+    assert!(controller.servers.contains_key(&ServerId(0)) && controller.servers.contains_key(&ServerId(100)));
+}
--- a/crates/fawnrouterd/tests/platform/mod.rs
+++ b/crates/fawnrouterd/tests/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what surrounds the gateway on the users' platform, one of each, on loopback: callers, core switches, a
 //! name server. Events are waited for; the time limits only end a test that would hang.
+#![allow(dead_code, reason = "each test file uses its part")]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -243,6 +244,10 @@
         gateway
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The same gateway once more, after its end.
     pub fn again(mut self) -> Self {
         self.child.kill().unwrap();
