One connection kept to each core switch, another only where set-ups share one

Seen: connections are priced over the whole fleet, and switches hold few. A probe of all answers showed a second one idle nearly always. Lines at fault: KEPT = 2 and "one more than are busy" in links.rs, harmless in one gateway. Change: one is kept; a second is opened where two set-ups share one, so that a spoilt answer still costs few others. A call whose attempt was given up gets another connection as before.

--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -16,8 +16,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
 
-/// Connections that are kept up to one that takes set-ups, so that a spoilt answer leaves another at hand.
-const KEPT: usize = 2;
+/// Connections that are kept up to one that takes set-ups. Hundreds of gateways see each core switch once in some
+/// seconds: a second one that nothing is sent on is paid for by all of them and holds a place there.
+const KEPT: usize = 1;
+/// Set-ups that share a connection before another is opened: what is lost with one spoilt answer.
+const SHARE: usize = 2;
 /// Connections to one core switch at the most; more set-ups than that at once share.
 const MOST: usize = 8;
 /// Connections that are opened at once to one that does not answer.
@@ -170,11 +173,11 @@
     /// How many more connections are to be opened now.
     pub fn wanting(&self, now: Time, server: ServerId, need: Need) -> usize {
         let Some(site) = self.sites.get(&server) else { return 0 };
-        let (mut up, mut free, mut opening) = (0, 0, 0);
+        let (mut up, mut shared, mut opening) = (0, 0, 0);
         for (_, link) in self.of(server) {
             if link.up {
                 up += 1;
-                free += usize::from(link.open.is_empty());
+                shared += usize::from(link.open.len() >= SHARE);
             } else {
                 opening += 1;
             }
@@ -184,8 +187,8 @@
             Need::None | Need::Releases => 1,
             // What waits although some are up can use none of those: all have carried its call.
             Need::SetUps if !site.waiting.is_empty() => (up + site.waiting.len()).clamp(KEPT, MOST),
-            // One more than are busy: the next set-up finds one of its own.
-            Need::SetUps => (up - free + 1).clamp(KEPT, MOST),
+            // One more than are shared: the next set-up need not be the third on any.
+            Need::SetUps => (shared + 1).clamp(KEPT, MOST),
         };
         // Each core switch has its part of the whole.
         let part = (self.most / self.sites.len().max(1)).max(1);
