Gateways that begin anew use their share of cold servers

Lines at fault: on_list gives a cold server the usual rate of others, which is 0 in a controller that has just begun, and marks it as learned (usual_ticks = USUAL_TICKS), so pace() left it 2 set-ups a second divided by all gateways for the whole cold time: harmless in one gateway, and 70% of the cold budget unused where seven in ten restart. Change: where nothing is known yet, the usual rate of a cold server is the gateway's own standing set-ups a second divided by the servers that are ready: its sum over gateways is what each server would have, so rule 4's budget holds as before. Test: 250 controllers, seven in ten begin anew, one or five of ten servers cold: the budget holds in every second and they use over 0.7 of what they use without the restart; fails without the change.

--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -422,6 +422,8 @@
     quota: Vec<(f64, Time)>,
     next_tick: Time,
     ticks: u32,
+    /// Own set-ups a second that stand, at all servers together, in the long mean, and the ticks it is of.
+    stands: (f64, u32),
     next_sweep: Time,
     listed: bool,
     asked: Option<Time>,
@@ -447,6 +449,7 @@
             numbers: BTreeMap::new(),
             next_tick: Time::default(),
             ticks: 0,
+            stands: (0.0, 0),
             next_sweep: Time::default(),
             listed: false,
             asked: None,
@@ -808,6 +811,18 @@
         rates.mean().unwrap_or(0.0)
     }
 
+    /// Own set-ups a second that would stand at each server if all that are ready had as many. Guards against
+    /// gateways that have just begun and know no usual rate: hundreds would leave the cold servers to the few
+    /// others. Could do harm where load falls most unevenly on servers: a small one is then sent too much.
+    fn even_rate(&mut self) -> f64 {
+        let stood: u32 = self.servers.values().map(|s| s.stood).sum();
+        let (rate, ticks) = self.stands;
+        let ticks = (ticks + 1).min(USUAL_TICKS);
+        self.stands = (rate + (f64::from(stood) / TICK.as_secs_f64() - rate) / f64::from(ticks), ticks);
+        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready).count();
+        self.stands.0 / ready.max(1) as f64
+    }
+
     fn issue(&mut self, now: Time, id: CallId, server: ServerId) {
         let (Some(c), Some(s)) = (self.calls.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let mut within = c.answer_by.since(now);
@@ -892,7 +907,11 @@
         let least = self.servers.values().filter_map(|s| s.floor).min_by(f64::total_cmp);
         let f_min = (F_MIN_SUM / f64::from(self.settings.gateways)).clamp(F_MIN.0, F_MIN.1);
         let aim = self.aim();
+        let even = self.even_rate();
         for (id, s) in &mut self.servers {
+            if s.cold.is_some() && s.usual_ticks == 0 {
+                s.usual = even;
+            }
             let floor = if s.samples < 8 { least } else { s.floor };
             s.tick(now, floor, aim, f_min);
             if s.cold.is_some_and(|(_, until)| now >= until) {
@@ -920,9 +939,9 @@
         }
     }
 
-    /// Forgets servers that are gone, once no call of theirs can matter (those out, and those that may have run
-    /// there) and no replacement takes its pace from them. Guards against memory that grows with each release. Could
-    /// do harm to one that comes back later under its old id: it starts anew, as cold.
+    /// Forgets servers that are gone, once no call of theirs can matter (those out, and those that may have
+    /// run there) and no replacement takes its pace from them. Guards against memory that grows with each
+    /// release. Could do harm to one that comes back later under its old id: it starts anew, as cold.
     fn forget_gone(&mut self, now: Time) {
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let keep = self.settings.rules.cold_time.max(longest);
@@ -988,6 +1007,7 @@
             let credit = self.unit();
             let same = self.servers.values().filter(|s| s.entry.cell == entry.cell && s.usual_ticks > 0);
             let usual = same.map(|s| s.usual).reduce(f64::max).unwrap_or_else(|| self.usual_rate());
+            let known = self.servers.values().any(|s| s.usual_ticks > 0);
             let fresh = !self.servers.contains_key(&id);
             let s =
                 self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now, credit, overtake));
@@ -999,7 +1019,8 @@
                 if let Some(since) = since {
                     let (free, waiting) = (s.free, std::mem::take(&mut s.waiting));
                     *s = Server::new(entry.clone(), now, credit, overtake);
-                    (s.free, s.waiting, s.usual, s.usual_ticks) = (free, waiting, usual, USUAL_TICKS);
+                    (s.free, s.waiting, s.usual, s.usual_ticks) =
+                        (free, waiting, usual, if known { USUAL_TICKS } else { 0 });
                     s.cold = Some((since, since.plus(cold_time)));
                     self.actions.push(Action::Log(format!("server {} starts cold", id.0)));
                 }
--- a/crates/fawnrouter/tests/fleet.rs
+++ b/crates/fawnrouter/tests/fleet.rs
@@ -13,14 +13,14 @@
 const STEP: u64 = 20;
 
 /// All gateways learn in the same instant, after 10 s, that `struck` have restarted. Every set-up that reaches a
-/// server stands. Returns when set-ups went to server 70 after the restart, since the restart, in milliseconds.
-fn sends_to_cold_70(struck: &[u32], steps_after: u64) -> Vec<u64> {
+/// server stands. `anew` in ten gateways begin anew in that instant, and know nothing. Returns when set-ups went to server 70 after the restart, since the restart, in milliseconds.
+fn sends_to_cold_70(struck: &[u32], steps_after: u64, anew: u32) -> Vec<u64> {
     let mut sends = Vec::new();
     for me in 0..GATEWAYS {
         let mut s = settings();
         (s.gateways, s.me, s.limits.peers) = (GATEWAYS, PeerId(me), false);
         let mut g = Gateway::with_servers(s.clone(), 0);
-        g.controller = Controller::new(s, u64::from(me) + 1).unwrap();
+        g.controller = Controller::new(s.clone(), u64::from(me) + 1).unwrap();
         let entries = (0..SERVERS).map(|n| entry(70 + n, ServerState::Ready)).collect();
         g.tell(Event::List { kind: ListKind::Cached, entries });
         let mut rng = ChaCha8Rng::seed_from_u64(u64::from(me));
@@ -29,8 +29,16 @@
             let mut done = Vec::new();
             if step == warm {
                 let cold = |n: &u32| ServerEntry { up_since: Some(g.now), ..entry(*n, ServerState::Ready) };
-                let entries = struck.iter().map(cold).collect();
-                done.extend(g.tell(Event::List { kind: ListKind::Changes, entries }));
+                let mut entries: Vec<ServerEntry> = struck.iter().map(cold).collect();
+                let mut kind = ListKind::Changes;
+                if me % 10 < anew {
+                    g.controller = Controller::new(s.clone(), u64::from(me) + 1_000).unwrap();
+                    open.clear();
+                    let warm = (70..70 + SERVERS).filter(|n| !struck.contains(n));
+                    entries.extend(warm.map(|n| entry(n, ServerState::Ready)));
+                    kind = ListKind::Cached;
+                }
+                done.extend(g.tell(Event::List { kind, entries }));
             }
             for (call, server) in open.drain(..) {
                 done.extend(g.stands(call, 0, server, ms(STEP)));
@@ -50,8 +58,8 @@
 }
 
 /// The rule: at most 2 times what the server can then do, in any second; warm it takes what it took before.
-fn check_the_cold_budget(struck: &[u32]) {
-    let sends = sends_to_cold_70(struck, 300);
+fn check_the_cold_budget(struck: &[u32], anew: u32) -> usize {
+    let sends = sends_to_cold_70(struck, 300, anew);
     let warm = f64::from(GATEWAYS) * CALLS / f64::from(SERVERS);
     for from in &sends {
         let count = sends.iter().filter(|t| **t >= *from && **t < from + 1000).count();
@@ -59,16 +67,25 @@
         assert!(count as f64 <= 2.0 * part * warm, "{count} in the second from {from} ms, {struck:?} cold");
     }
     assert!(sends.len() > 60, "hardly used while cold: {}", sends.len());
+    sends.len()
 }
 
 #[test]
 fn together_all_gateways_keep_the_budget_of_a_cold_server_told_to_all_at_once() {
-    check_the_cold_budget(&[70]);
+    check_the_cold_budget(&[70], 0);
 }
 
 #[test]
 fn half_of_the_servers_cold_at_once_keep_their_budgets_too() {
-    check_the_cold_budget(&[70, 71, 72, 73, 74]);
+    check_the_cold_budget(&[70, 71, 72, 73, 74], 0);
+}
+
+#[test]
+fn gateways_that_begin_anew_use_their_share_of_cold_servers_and_no_more() {
+    for struck in [&[70][..], &[70, 71, 72, 73, 74]] {
+        let (with, without) = (check_the_cold_budget(struck, 7), check_the_cold_budget(struck, 0));
+        assert!(with as f64 > 0.7 * without as f64, "{with} set-ups instead of {without}, {struck:?} cold");
+    }
 }
 
 fn in_a_fleet(peers: bool) -> Gateway {
