--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -10,6 +10,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use async_lock::Mutex;
 use fawnrouter_audit::{Figures, Listed, Seen, Verdict};
 use fawnrouter_config::{SwitchFile, SwitchLine, SwitchState};
 use fawnrouterd::engine::zones::Cause;
@@ -66,6 +67,8 @@
     /// The pool of each switch that there ever was.
     pools: RefCell<BTreeMap<u32, u32>>,
     registry: RefCell<Registry>,
+    /// Held while a list is written and told: one at a time, in the order of their versions.
+    writing: Mutex<()>,
     load: Cell<f64>,
     /// Where the gateways listen, and the floods that were let loose on them.
     gateways: RefCell<Vec<SocketAddr>>,
@@ -131,6 +134,7 @@
             stands: RefCell::default(),
             pools: RefCell::default(),
             registry: RefCell::new(registry),
+            writing: Mutex::new(()),
             load: Cell::new(1.0),
             gateways: RefCell::default(),
             floods: RefCell::default(),
@@ -226,6 +230,9 @@
 
     /// Writes the list unless a newer one is out, and tells the auditor what it said once it is in place.
     async fn publish_as(&self, version: u64, truth: BTreeMap<u32, SwitchLine>) -> io::Result<()> {
+        // Two lists of the same instant: what the older one lacks must be told neither after the newer one nor written
+        // over it.
+        let _one = self.writing.lock().await;
         let (folder, list, shown) = {
             let mut registry = self.registry.borrow_mut();
             if version < registry.shown {
--- a/crates/fawnrouter-node/tests/calls.rs
+++ b/crates/fawnrouter-node/tests/calls.rs
@@ -620,3 +620,23 @@
     rig.input(Input::Known(pool(2, &[(other.0, other.1, "Ready", 0), ("s-3", port, "Ready", START_MS)])));
     assert_eq!(rig.told(7), [(Verb::Started, None), (Verb::Finish, Some(41))]);
 }
+
+#[test]
+fn what_a_draining_switch_wrote_to_a_lost_connection_is_fetched_on_a_new_one_though_another_is_up() {
+    let mut rig = Rig::with(&[("s-1", 7001, "Ready", 0)]);
+    let client = rig.connect();
+    let first = rig.standing(client, 7);
+    // Two set-ups that share a connection bring up a second.
+    rig.pass(400);
+    rig.call(client, 8, 3000);
+    rig.call(client, 9, 3000);
+    assert_eq!((rig.starts(8).len(), rig.starts(9).len()), (1, 1));
+    assert!(rig.up.len() >= 2, "two connections");
+    rig.input(Input::Known(pool(2, &[("s-1", 7001, "Terminating", 0)])));
+    let before: Vec<LinkId> = rig.up.keys().copied().collect();
+    rig.broken(first);
+    rig.pass(50);
+    let link = *rig.up.keys().find(|l| !before.contains(l)).expect("a new connection was opened");
+    rig.finish(link, 7, 16);
+    assert_eq!(rig.told(7), [(Verb::Started, None), (Verb::Finish, Some(16))]);
+}
