Node and module: three steps worked out once instead of for each entry or line

Need: on re-reading, 'known' in on_list was looked for at each entry of a list, link_message looked a standing call up for every line though only a FINISH uses it, and take_pool searched a list for each switch.

Change: the first stands before the loop, the second is asked of a FINISH alone, the third is a set. No decision changes: a list's entries never turn 'known' from false to true, as a cold server takes its ticks from it.

--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -695,15 +695,14 @@
     fn link_message(&mut self, link: LinkId, message: Message) {
         let Some(l) = self.links.links.get(&link) else { return };
         let (server, tag, now) = (l.server, message.tag, self.now);
-        let stood = self.calls.standing.get(&tag).is_some_and(|s| s.server == server);
-        self.sign(
-            server,
-            match message.verb {
-                Verb::Load => Sign::Works,
-                Verb::Finish if stood => Sign::Release,
-                _ => Sign::Byte,
-            },
-        );
+        let finish = message.verb == Verb::Finish;
+        let stood = finish && self.calls.standing.get(&tag).is_some_and(|s| s.server == server);
+        let sign = match message.verb {
+            Verb::Load => Sign::Works,
+            Verb::Finish if stood => Sign::Release,
+            _ => Sign::Byte,
+        };
+        self.sign(server, sign);
         // Free circuits and the like come by themselves, or with an answer.
         let report = message.opts.get("load").and_then(|l| l.text()).map(fawnrouter_bootinfo::told_report);
         let here = self
@@ -1166,7 +1165,7 @@
                 self.cut(server, listed.started, "has started anew");
             }
         }
-        let gone: Vec<ServerId> = self.servers.keys().copied().filter(|s| !seen.contains(s)).collect();
+        let gone: BTreeSet<ServerId> = self.servers.keys().copied().filter(|s| !seen.contains(s)).collect();
         self.events.push_back(Event::List { kind, entries });
         self.decide();
         // A new core switch listens where one listened that is gone: nothing there is the old one's any more. Guards
--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -1001,13 +1001,13 @@
         }
         let cold_time = self.settings.rules.cold_time;
         let overtake = Duration::from_secs_f64(self.aim().min(1e6) * OVERTAKE_SHARE);
+        let known = self.servers.values().any(|s| s.usual_ticks > 0);
         for entry in entries {
             let id = entry.id;
             // A machine that replaces another in its pool is taken to be of its size.
             let credit = self.unit();
             let same = self.servers.values().filter(|s| s.entry.cell == entry.cell && s.usual_ticks > 0);
             let usual = same.map(|s| s.usual).reduce(f64::max).unwrap_or_else(|| self.usual_rate());
-            let known = self.servers.values().any(|s| s.usual_ticks > 0);
             let fresh = !self.servers.contains_key(&id);
             let s =
                 self.servers.entry(id).or_insert_with(|| Server::new(entry.clone(), now, credit, overtake));
