Leases: after a lost majority no lease of the table found is renewed

Cause: read once more, Table::apply kept the leases of the table found when the voters were set up anew (Raise), and renewed them while it was quiet. That table may be older than the lost one, in which another gateway had the lease by then: two could have acted by their clocks, with the fencing number as the only guard. The model has no Raise and could not show it.

Change: Raise drops all leases, and the quiet time is the longest term in the table at the least. Two arms of Holder::answer with one body are one.

--- a/crates/fawnrouter-lease/src/holder.rs
+++ b/crates/fawnrouter-lease/src/holder.rs
@@ -292,10 +292,8 @@
                     l.ask_at = Some(renew.max(now));
                 }
             }
-            Reply::Free | Reply::Offered { .. } | Reply::Done if about_leaving => {
-                (l.leaving, l.ask_at, l.tries) = (None, l.wanted.then(|| now.plus(pause)), 0);
-            }
-            Reply::Refused(_) if about_leaving => {
+            // Given back, or no longer this gateway's to give.
+            _ if about_leaving => {
                 (l.leaving, l.ask_at, l.tries) = (None, l.wanted.then(|| now.plus(pause)), 0);
             }
             // Taken back: no more acts, even if by the clock there was time left.
--- a/crates/fawnrouter-lease/src/table.rs
+++ b/crates/fawnrouter-lease/src/table.rs
@@ -68,8 +68,8 @@
     Raise {
         /// Above all earlier ones.
         epoch: Epoch,
-        /// How long nothing is granted: the longest term that the lost voters can have given, as their last grants may be
-        /// missing here.
+        /// How long nothing is granted or renewed, the longest term in this table at the least: the longest that the lost
+        /// voters can have given, as their last grants may be missing here.
         quiet: Duration,
     },
     /// That time has passed by the clock of the voter that proposes this.
@@ -233,10 +233,14 @@
                 Ok(Reply::Free)
             }
             Command::Raise { epoch, quiet } if *epoch > self.epoch => {
-                // Guards against grants of the lost voters that are not known here. Could do harm where the command is
-                // given while those still run: then the fencing number alone tells the two apart.
+                // Guards against grants of the lost voters that are not known here, and against renewals of those that
+                // are: this table may be older than the lost one, in which another has the lease by now. Could do harm
+                // where the time is given too short: then the fencing number alone tells the two apart.
+                let longest = self.leases.values().map(|entry| entry.term).max().unwrap_or_default();
+                self.leases.clear();
                 self.stamps += 1;
-                (self.epoch, self.count, self.quiet) = (*epoch, 0, Some((Stamp(self.stamps), *quiet)));
+                let quiet = (Stamp(self.stamps), (*quiet).max(longest));
+                (self.epoch, self.count, self.quiet) = (*epoch, 0, Some(quiet));
                 Ok(Reply::Done)
             }
             Command::Settle { stamp } => {
--- a/crates/fawnrouter-lease/tests/table.rs
+++ b/crates/fawnrouter-lease/tests/table.rs
@@ -179,6 +179,17 @@
     );
 }
 
+#[test]
+fn after_an_epoch_a_holder_of_an_older_table_is_not_renewed_beside_the_lost_tables_holder() {
+    let mut table = Table::default();
+    let old = number(&take(&mut table, "report", gateway(1)));
+    table.apply(&Command::Raise { epoch: Epoch(1), quiet: Duration::from_secs(1) });
+    let renew = Command::Renew { lease: lease("report"), by: gateway(1), number: old };
+    assert_eq!(table.apply(&renew), Reply::Refused(Refusal::NotHeld));
+    assert_eq!(take(&mut table, "report", gateway(1)), Reply::Refused(Refusal::Quiet));
+    assert_eq!(table.quiet().unwrap().1, TERM);
+}
+
 #[test]
 fn the_fence_refuses_numbers_below_the_highest_and_leases_beyond_its_room() {
     let mut fence = Fence::default();
--- a/crates/fawnrouter/tests/fleet.rs
+++ b/crates/fawnrouter/tests/fleet.rs
@@ -13,7 +13,8 @@
 const STEP: u64 = 20;
 
 /// All gateways learn in the same instant, after 10 s, that `struck` have restarted. Every set-up that reaches a
-/// server stands. `anew` in ten gateways begin anew in that instant, and know nothing. Returns when set-ups went to server 70 after the restart, since the restart, in milliseconds.
+/// server stands. `anew` in ten gateways begin anew in that instant, and know nothing. Returns when set-ups went to server
+/// 70 after the restart, since the restart, in milliseconds.
 fn sends_to_cold_70(struck: &[u32], steps_after: u64, anew: u32) -> Vec<u64> {
     let mut sends = Vec::new();
     for me in 0..GATEWAYS {
