--- a/crates/fawnrouter-node/src/lib.rs
+++ b/crates/fawnrouter-node/src/lib.rs
@@ -12,7 +12,7 @@
 //! | `liveness` | when a core switch's standing calls count as cut though nobody said so |
 //! | `seats` | which client's connection is closed, when and why |
 //! | `calls` | calls, open and standing, and what is remembered of those that ended |
-//! | `node` | inputs, the controller's events and actions, what comes due |
+//! | `node` | inputs, the controller's events and actions, what comes due; a file each for callers, attempts, connections, standing calls, the list |
 
 mod ask;
 mod boot;
--- /dev/null
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -0,0 +1,266 @@
+//! Callers: their connections, their set-ups, and what they are told.
+
+use std::collections::BTreeSet;
+
+use fawnrouter::{CallId, Event, Note, Outcome};
+use fawnrouter_jsonl::{Fault, Message, Tag, Verb};
+
+use super::{Key, LAST_CALL, LOOK_AGAIN, MAX_NEWS, Node, Output, TEST_FAILED, TEST_PASSED};
+use crate::calls::{MAX_STANDING, Open, Standing};
+use crate::request::{self, Request, cause};
+use crate::seats::{Arrival, ClientId};
+
+impl Node {
+    /// The one final answer of a call that does not stand. An attempt that is out is withdrawn.
+    pub(super) fn answer(&mut self, tag: Tag, finish: Message) {
+        if !self.calls.open.contains_key(&tag) {
+            return;
+        }
+        self.withdraw(tag);
+        if let Some(open) = self.drop_open(tag) {
+            self.tell_client(open.client, &finish);
+        }
+    }
+
+    /// A call is owed no answer any more.
+    pub(super) fn drop_open(&mut self, tag: Tag) -> Option<Open> {
+        let open = self.calls.close(tag)?;
+        self.due.clear(Key::Call(tag));
+        self.due.clear(Key::Attempt(tag));
+        self.count_open(open.client);
+        Some(open)
+    }
+
+    pub(super) fn count_open(&mut self, client: ClientId) {
+        let open = self.calls.of_client.get(&client).map_or(0, BTreeSet::len);
+        self.seats.count(self.now, client, open);
+        self.watch(client);
+    }
+
+    pub(super) fn client_up(&mut self, client: ClientId) {
+        match self.seats.arrive(self.now, client) {
+            Arrival::In => {}
+            Arrival::InFor(least) => {
+                self.counters.unseated += 1;
+                self.close_client(least, "idle, and its place is needed");
+            }
+            Arrival::Full => {
+                self.counters.unseated += 1;
+                self.goodbye(client, None, cause::CONGESTION, "no room for another connection");
+                return;
+            }
+        }
+        self.watch(client);
+    }
+
+    /// A call stands for this client: what waited to be told to a caller can be told now.
+    pub(super) fn served(&mut self, client: ClientId) {
+        self.seats.stands(client, true);
+        if self.seats.is_in(client) {
+            for (_, line) in std::mem::take(&mut self.news) {
+                self.out.push(Output::ToClient { client, line });
+            }
+        }
+    }
+
+    /// Has it looked at when it is overdue.
+    pub(super) fn watch(&mut self, client: ClientId) {
+        match self.seats.due(client) {
+            Some(due) => self.due.set(Key::Client(client), due.max(self.now.plus(LOOK_AGAIN))),
+            None => self.due.clear(Key::Client(client)),
+        }
+    }
+
+    /// An error without a call, and the end.
+    pub(super) fn goodbye(&mut self, client: ClientId, tag: Option<Tag>, rc: i64, why: &str) {
+        let line = match tag {
+            Some(tag) => {
+                let mut line = Vec::new();
+                Message::new(Verb::Finish, tag).cause(rc).option("error", why).write(&mut line);
+                line
+            }
+            None => {
+                let line = serde_json::json!({"verb": "FINISH", "opts": {"error": why}, "rc": rc});
+                format!("{line}\n").into_bytes()
+            }
+        };
+        self.out.push(Output::ToClient { client, line });
+        self.close_client(client, why);
+    }
+
+    pub(super) fn close_client(&mut self, client: ClientId, why: &str) {
+        if self.seats.is_in(client) {
+            self.log(format!("client's connection {} closed: {why}", client.0));
+        }
+        self.out.push(Output::CloseClient { client });
+        self.client_down(client);
+    }
+
+    pub(super) fn client_down(&mut self, client: ClientId) {
+        if !self.seats.leave(client) {
+            return;
+        }
+        self.due.clear(Key::Client(client));
+        for tag in self.calls.of_client.get(&client).cloned().unwrap_or_default() {
+            self.lapse(tag);
+        }
+    }
+
+    pub(super) fn client_fault(&mut self, client: ClientId, fault: &Fault) {
+        if !self.seats.is_in(client) {
+            return;
+        }
+        self.counters.invalid += 1;
+        // The tag of an open call is not answered with another line's fault.
+        let tag = fault.tag().filter(|tag| !self.is_known(*tag));
+        self.goodbye(client, tag, cause::INVALID, &fault.to_string());
+    }
+
+    pub(super) fn is_known(&self, tag: Tag) -> bool {
+        self.calls.open.contains_key(&tag) || self.calls.standing.contains_key(&tag)
+    }
+
+    /// The caller waits no longer.
+    pub(super) fn lapse(&mut self, tag: Tag) {
+        if !self.calls.open.contains_key(&tag) {
+            return;
+        }
+        self.counters.lapsed += 1;
+        self.withdraw(tag);
+        self.events.push_back(Event::Lapsed(CallId(tag.0)));
+        self.attempt_ended(tag, Outcome::Cancelled, Note::None);
+        self.drop_open(tag);
+    }
+
+    pub(super) fn client_message(&mut self, client: ClientId, message: Message) {
+        let tag = message.tag;
+        match message.verb {
+            Verb::Start => self.start(client, message),
+            Verb::Finish => self.finish(client, &message),
+            Verb::Echo => {
+                // A gateway that ends fails the test, so that the front turns to others.
+                let rc = if self.stopping.is_none() { TEST_PASSED } else { TEST_FAILED };
+                self.tell_client(client, &Message::new(Verb::Echoed, tag).cause(rc));
+            }
+            Verb::Pending | Verb::Finished | Verb::Echoed | Verb::Load => {}
+            Verb::Started | Verb::Other => {
+                self.counters.invalid += 1;
+                let tag = Some(tag).filter(|tag| !self.is_known(*tag));
+                self.goodbye(client, tag, cause::NO_SUCH_MESSAGE, "not a message that a caller sends");
+            }
+        }
+        self.watch(client);
+    }
+
+    pub(super) fn start(&mut self, client: ClientId, message: Message) {
+        let tag = message.tag;
+        let wrong = |rc| Message::new(Verb::Finish, tag).cause(rc);
+        let read = request::read(&message, &self.decisions, &self.names);
+        if let Ok(Request::Standing(at)) = &read {
+            return self.told_standing(client, tag, at);
+        }
+        if self.is_known(tag) {
+            // The first call of this id is neither disturbed nor answered: this connection alone is ended.
+            self.counters.invalid += 1;
+            return self.goodbye(client, None, cause::INVALID_REFERENCE, "the id is that of another call");
+        }
+        let new = match read {
+            Ok(Request::New(new)) => new,
+            Ok(Request::Standing(_)) => return,
+            Err(rc) => {
+                self.counters.invalid += 1;
+                return self.tell_client(client, &wrong(rc));
+            }
+        };
+        if self.is_over() || self.calls.open.len() >= self.sockets.max_open {
+            self.counters.refused += 1;
+            let refusal = wrong(cause::CONGESTION);
+            let wait = self.decisions.limits.max_retry_after.as_millis();
+            let told = self.decisions.limits.retry_after && wait > 0;
+            return self.tell_client(client, &if told { refusal.option("wait", wait) } else { refusal });
+        }
+        self.counters.taken += 1;
+        let deadline = self.now.plus(new.left);
+        self.due.set(Key::Call(tag), deadline.minus(LAST_CALL.min(new.left / 4)));
+        let text = |name: &str| message.opts.get(name).and_then(|v| v.text()).unwrap_or_default().to_owned();
+        let (class, key) = (text("class"), text("key"));
+        let blob = message.blob.unwrap_or_default();
+        self.calls.insert(tag, Open { client, deadline, class, key, blob, attempts: 0, out: None });
+        self.count_open(client);
+        self.events.push_back(Event::Call(new));
+    }
+
+    /// A caller tells of a call that stands: it expects no answer, only the release in its time.
+    pub(super) fn told_standing(&mut self, client: ClientId, tag: Tag, at: &str) {
+        if let Some(standing) = self.calls.standing.get_mut(&tag) {
+            let before = std::mem::replace(&mut standing.client, client);
+            self.seats.stands(before, false);
+            return self.served(client);
+        }
+        if self.calls.open.contains_key(&tag) {
+            self.counters.invalid += 1;
+            return self.goodbye(client, None, cause::INVALID_REFERENCE, "the id is that of another call");
+        }
+        let released = self.calls.unclaimed.take(tag);
+        let server = self.ids.known(at).filter(|s| self.servers.contains_key(s));
+        match (server, released) {
+            (Some(server), None) if self.calls.standing.len() < MAX_STANDING => {
+                self.calls.stand(tag, Standing { client, server, attempt: None, since: self.now });
+                self.served(client);
+                self.tend(server);
+                self.watch_life(server);
+            }
+            // It is over already, or its core switch is.
+            (_, released) => {
+                let rc = released.unwrap_or(cause::TEMPORARY_FAILURE);
+                self.tell_client(client, &Message::new(Verb::Finish, tag).cause(rc));
+            }
+        }
+    }
+
+    /// A caller gives up a set-up or releases what stands.
+    pub(super) fn finish(&mut self, client: ClientId, message: &Message) {
+        let tag = message.tag;
+        if let Some(open) = self.calls.open.get(&tag) {
+            // Only the connection of the set-up can give it up: an id alone is no proof.
+            if open.client == client {
+                self.lapse(tag);
+                self.tell_client(client, &Message::new(Verb::Finished, tag));
+            }
+        } else if let Some(standing) = self.calls.fall(tag) {
+            let rc = message.rc.unwrap_or(cause::CLEARING);
+            self.standing_ended(tag, standing, Outcome::Cancelled);
+            self.release(standing.server, tag, rc);
+            self.tell_client(client, &Message::new(Verb::Finished, tag));
+        } else if self.calls.ended.has(tag) {
+            self.tell_client(client, &Message::new(Verb::Finished, tag));
+        } else {
+            self.counters.invalid += 1;
+            self.tell_client(client, &Message::new(Verb::Finish, tag).cause(cause::INVALID_REFERENCE));
+        }
+    }
+
+    /// Writes to a client, if it is there.
+    pub(super) fn tell_client(&mut self, client: ClientId, message: &Message) {
+        if self.seats.is_in(client) {
+            let mut line = Vec::with_capacity(256);
+            message.write(&mut line);
+            self.out.push(Output::ToClient { client, line });
+        }
+    }
+
+    /// Tells the caller of a standing call that it is over; where its connection is gone, on another, or on the next.
+    pub(super) fn tell_caller(&mut self, client: ClientId, message: &Message) {
+        match Some(client).filter(|client| self.seats.is_in(*client)).or_else(|| self.seats.instead()) {
+            Some(client) => self.tell_client(client, message),
+            None => {
+                let mut line = Vec::new();
+                message.write(&mut line);
+                self.news.push_back((self.now, line));
+                if self.news.len() > MAX_NEWS {
+                    self.news.pop_front();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fawnrouter-node/src/node/interface.rs
@@ -0,0 +1,195 @@
+//! What the gateway is told and what it says.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fawnrouter::Settings;
+use fawnrouter_bootinfo::{Names, Sockets};
+use fawnrouter_dns::Answer;
+use fawnrouter_jsonl::{Fault, Message};
+
+use crate::boot::Boot;
+use crate::links::LinkId;
+use crate::pool::Pool;
+use crate::seats::ClientId;
+
+/// All that a gateway is told at its start.
+#[derive(Debug)]
+pub struct NodeSettings {
+    /// The decisions' settings.
+    pub decisions: Settings,
+    /// The names that calls carry.
+    pub names: Names,
+    /// What the settings say of connections.
+    pub sockets: Sockets,
+    /// Clients' connections at the most.
+    pub clients: usize,
+    /// Connections to core switches at the most.
+    pub links: usize,
+    /// Seed of all random numbers.
+    pub seed: u64,
+}
+
+impl NodeSettings {
+    /// Divides the descriptors beforehand: a half is clients' (callers keep to a third), a quarter core switches',
+    /// the rest is left for the name server, connections that are being closed, the standard streams.
+    #[must_use]
+    pub fn new(boot: &Boot) -> Self {
+        Self {
+            decisions: boot.settings.clone(),
+            names: boot.names.clone(),
+            sockets: boot.sockets,
+            clients: boot.descriptors / 2,
+            links: boot.descriptors / 4,
+            seed: boot.seed,
+        }
+    }
+}
+
+/// How a connection to a core switch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkEnd {
+    /// It was refused: nobody listens.
+    Refused,
+    /// It did not come up in time, or could not be made.
+    Unreached,
+    /// It was up, and is closed or reset.
+    Broken,
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Input {
+    /// A client connected.
+    ClientUp {
+        /// Its number.
+        client: ClientId,
+    },
+    /// A client sent something whole.
+    ClientMessage {
+        /// Which.
+        client: ClientId,
+        /// What.
+        message: Message,
+    },
+    /// A client's bytes have been read; whether a part of a line lies there.
+    ClientRead {
+        /// Which.
+        client: ClientId,
+        /// Part of a line is there.
+        half: bool,
+    },
+    /// A client sent what is no message.
+    ClientFault {
+        /// Which.
+        client: ClientId,
+        /// What is wrong.
+        fault: Fault,
+    },
+    /// A client's connection ended.
+    ClientDown {
+        /// Which.
+        client: ClientId,
+    },
+    /// A connection to a core switch is up.
+    LinkUp {
+        /// Which.
+        link: LinkId,
+    },
+    /// A core switch sent something whole.
+    LinkMessage {
+        /// On which connection.
+        link: LinkId,
+        /// What.
+        message: Message,
+    },
+    /// A core switch sent what is no message.
+    LinkFault {
+        /// On which connection.
+        link: LinkId,
+        /// What is wrong.
+        fault: Fault,
+    },
+    /// A connection to a core switch ended or did not come up.
+    LinkDown {
+        /// Which.
+        link: LinkId,
+        /// How.
+        end: LinkEnd,
+    },
+    /// The name server answered.
+    Answer(Answer),
+    /// A new configuration holds this list.
+    Known(Pool),
+    /// The gateway is to end.
+    Stop,
+    /// Something is due.
+    Wake,
+}
+
+/// What is to be done, in this order.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Write to a client.
+    ToClient {
+        /// Which.
+        client: ClientId,
+        /// A line.
+        line: Vec<u8>,
+    },
+    /// Write what waits, then close a client's connection in order.
+    CloseClient {
+        /// Which.
+        client: ClientId,
+    },
+    /// Open a connection to a core switch.
+    OpenLink {
+        /// Its number.
+        link: LinkId,
+        /// Where to.
+        address: SocketAddr,
+        /// It must be up within this time.
+        within: Duration,
+    },
+    /// Write to a core switch.
+    ToLink {
+        /// On which connection.
+        link: LinkId,
+        /// A line.
+        line: Vec<u8>,
+    },
+    /// Close a connection to a core switch.
+    CloseLink {
+        /// Which.
+        link: LinkId,
+    },
+    /// A line for the operators.
+    Log(String),
+    /// Nothing is owed any more: the gateway may end.
+    Done,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Set-ups taken.
+    pub taken: u64,
+    /// Calls that stood.
+    pub stood: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Given up by their callers.
+    pub lapsed: u64,
+    /// Set-ups that made no sense.
+    pub invalid: u64,
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Standing calls that a core switch lost.
+    pub cut: u64,
+    /// Answers that could not be read or used.
+    pub spoilt: u64,
+    /// Connections of clients that got no seat or had to leave theirs.
+    pub unseated: u64,
+}
--- /dev/null
+++ b/crates/fawnrouter-node/src/node/list.rs
@@ -0,0 +1,91 @@
+//! The list of core switches.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use fawnrouter::{Event, ListKind, Note, Outcome, ServerId};
+
+use super::{Key, Node, Output, Server};
+use crate::links::Need;
+use crate::liveness::Life;
+use crate::pool::{Pool, entry};
+
+impl Node {
+    /// A core switch that is not listed and holds nothing is forgotten, with its number.
+    pub(super) fn maybe_forget(&mut self, server: ServerId) {
+        let listed = self.servers.get(&server).is_none_or(|s| s.listed.is_some());
+        if listed
+            || self.calls.stands_at(server)
+            || self.links.links.values().any(|l| l.server == server && !l.open.is_empty())
+        {
+            return;
+        }
+        if let Some(s) = self.servers.remove(&server) {
+            self.ids.forget(&s.id);
+        }
+        for tag in self.links.take_waiting(server) {
+            self.attempt_ended(tag, Outcome::Moot, Note::None);
+        }
+        let links = self.links.sites.remove(&server).map(|s| s.links).unwrap_or_default();
+        for link in links {
+            self.links.links.remove(&link);
+            self.out.push(Output::CloseLink { link });
+        }
+        self.due.clear(Key::Redial(server));
+        self.due.clear(Key::Life(server));
+    }
+
+    pub(super) fn take_pool(&mut self, pool: &Pool) {
+        // Serials are compared as RFC 1982 has it; the numbers start at 1 and never wrap in practice.
+        if self.serial.is_some_and(|seen| pool.serial.wrapping_sub(seen) as i32 <= 0) {
+            return;
+        }
+        let kind = if self.serial.is_none() { ListKind::Cached } else { ListKind::Whole };
+        self.serial = Some(pool.serial);
+        let mut entries = Vec::new();
+        let mut seen = BTreeSet::new();
+        for (id, listed) in &pool.listed {
+            let server = self.ids.number(id);
+            seen.insert(server);
+            entries.push(entry(server, listed));
+            let s = self.servers.entry(server).or_insert_with(|| Server {
+                id: id.clone(),
+                listed: None,
+                life: Life::new(self.now),
+            });
+            let before = s.listed.replace(listed.clone());
+            s.life.listed(self.now, Some(listed.state));
+            self.links.site(server, listed.address).address = listed.address;
+            if before.is_some_and(|b| b.started != listed.started) {
+                self.cut(server, listed.started, "has started anew");
+            }
+        }
+        let gone: BTreeSet<ServerId> = self.servers.keys().copied().filter(|s| !seen.contains(s)).collect();
+        self.events.push_back(Event::List { kind, entries });
+        self.decide();
+        // A new core switch listens where one listened that is gone: nothing there is the old one's any more. Guards
+        // against its answers and connections being taken for signs of the old one's life.
+        let taken: BTreeSet<SocketAddr> = pool.listed.values().map(|l| l.address).collect();
+        for server in gone.iter().copied() {
+            if self.links.sites.get(&server).is_some_and(|site| taken.contains(&site.address)) {
+                self.cut(server, None, "is gone and its address is another's");
+            }
+        }
+        for server in self.servers.keys().copied().collect::<Vec<_>>() {
+            if gone.contains(&server)
+                && let Some(s) = self.servers.get_mut(&server)
+            {
+                s.listed = None;
+                s.life.listed(self.now, None);
+            }
+            // What has not been written yet must not go there any more.
+            if self.need(server) != Need::SetUps {
+                for tag in self.links.take_waiting(server) {
+                    self.attempt_ended(tag, Outcome::Moot, Note::None);
+                }
+            }
+            self.tend(server);
+            self.look_after(server);
+        }
+    }
+}
