Decisions: warm switches are rationed while a release leaves too few of them

The warm ones are sent half as much again within two seconds, their lines grow (0.05 to 0.86 s in two seconds at one of them), and the first reading comes when it is too late: a gateway sees each once in three seconds. Lines at fault: `pace` in brain.rs knows the share of cold servers and nothing of what their absence means for the others. A reading of 0.57 stands for 0.73 of what a line of constant work can do.

Change: `ration`. While something is cold and the usual rates with the cold share do not make up for the set-ups that usually stand, each warm server is sent its usual rate and root n of what that was counted from, unless readings say that phi_max times it stays under rho_targ. No constant of its own.

--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -23,8 +23,7 @@
 const RHO_LEARN: f64 = 0.3;
 /// φmax: the fraction allowed grows by this much a tick at the most.
 const PHI_MAX: f64 = 1.25;
-/// Without a reading f grows by φmax in this many usual set-ups of this gateway: what it heard last holds as
-/// long as it takes to hear again. Ours.
+/// Without a reading f grows by φmax in this many usual set-ups: as long as it takes to hear again. Ours.
 const UNREAD_SETUPS: f64 = 0.4;
 /// The least share of φmax's exponent a tick, so that no server stays shut out.
 const UNREAD_LEAST: f64 = 0.25;
@@ -53,8 +52,7 @@
 const USUAL_TICKS: u32 = 100;
 /// A trial is given this share of the aim: one that waits is sent again, which is work again.
 const TRIAL_CUT: f64 = 0.5;
-/// A set-up answered though sent this share of the shortest aim later than another shows that the
-/// other's answer is lost. A share: what is late at one site's aims is nothing at another's.
+/// A set-up answered though sent this share of the shortest aim later shows that an earlier answer is lost.
 const OVERTAKE_SHARE: f64 = 0.05;
 /// So many set-ups in a row that nobody answered, or that found its processor full, make a server suspect.
 const MISSES: u32 = 2;
@@ -119,10 +117,6 @@
         passes
     }
 
-    pub(crate) fn count_passed(&mut self) {
-        self.passed += 1;
-    }
-
     /// α̂: set-ups passed a second, mean of the last k ticks.
     pub(crate) fn acceptance(&self) -> f64 {
         let n = self.counts.len().max(1) as f64;
@@ -222,6 +216,8 @@
     overtake: Duration,
     /// Since when it is gone.
     gone: Option<Time>,
+    /// Set-ups a second that it is sent at the most while too little is warm.
+    most: Option<f64>,
 }
 
 impl Server {
@@ -280,9 +276,7 @@
         self.tick_full = false;
         self.utilisation = None;
         self.floor = self.floor.map(|x| x * (1.0 + FLOOR_AGEING * TICK.as_secs_f64()));
-        while self.answered.front().is_some_and(|t| now.since(*t) > RATE_SPAN) {
-            self.answered.pop_front();
-        }
+        self.answered.retain(|t| now.since(*t) <= RATE_SPAN);
         // A long mean: its noise over gateways cancels out in their sum. Trouble is no measure.
         if self.cold.is_none() && !self.suspect && self.entry.state == ServerState::Ready {
             let seen = f64::from(self.stood) / TICK.as_secs_f64();
@@ -326,6 +320,7 @@
     /// A cold processor (rule 4): all gateways together send at most what they usually send to it when warm,
     /// times the part that is warm; so each keeps to the budget's share that its own usual rate has.
     /// Few free lines: all gateways are told the same number, and each takes its share of them.
+    /// Too little that is warm: see `ration`.
     /// Could do harm where this gateway's calls grow fast: the server is then used too little.
     fn pace(&self, now: Time, settings: &Settings) -> Option<f64> {
         let (rules, gateways) = (&settings.rules, f64::from(settings.gateways));
@@ -341,7 +336,7 @@
             LINES_PACE * free.max(assumed) / gateways
         });
         let trials = self.suspect.then(|| (TRIAL_PACE * self.usual).max(least));
-        cold.into_iter().chain(lines).chain(trials).reduce(f64::min)
+        cold.into_iter().chain(lines).chain(trials).chain(self.most).reduce(f64::min)
     }
 
     /// Whether the pace allows a set-up now. Credit starts at a random phase: many gateways, each with less
@@ -424,6 +419,8 @@
     ticks: u32,
     /// Own set-ups a second that stand, at all servers together, in the long mean, and the ticks it is of.
     stands: (f64, u32),
+    /// The usual reading of warm servers, and the ticks it is of.
+    reads: (f64, u32),
     next_sweep: Time,
     listed: bool,
     asked: Option<Time>,
@@ -450,6 +447,7 @@
             next_tick: Time::default(),
             ticks: 0,
             stands: (0.0, 0),
+            reads: (0.0, 0),
             next_sweep: Time::default(),
             listed: false,
             asked: None,
@@ -480,9 +478,7 @@
                     self.calls.get_mut(&call).filter(|c| c.out == Some((attempt, server)) && !c.standing);
                 if let Some(c) = known {
                     c.standing = true;
-                    if let Some(voice) = &mut self.voice {
-                        voice.ended(call, true);
-                    }
+                    self.voice.iter_mut().for_each(|voice| voice.ended(call, true));
                     self.answered(now, server, call, Some(took));
                 }
             }
@@ -565,16 +561,12 @@
         *level = (*level - rate * now.since(*last).as_secs_f64()).max(0.0);
         *last = now;
         let within = *level + 1.0 <= (rate * QUOTA_BURST_S).max(1.0);
-        if within {
-            *level += 1.0;
-        }
+        *level += if within { 1.0 } else { 0.0 };
         within
     }
 
     fn forget(&mut self, call: CallId) {
-        if let Some(voice) = &mut self.voice {
-            voice.ended(call, false);
-        }
+        self.voice.iter_mut().for_each(|voice| voice.ended(call, false));
         let gone = self.calls.remove(&call);
         if let Some(c) = &gone {
             self.held.remove(&Self::place_in_line(c));
@@ -638,9 +630,7 @@
         }
         let Some(c) = self.calls.get_mut(&call).filter(|c| c.out == Some(attempt)) else { return };
         let stood = c.standing;
-        if let Some(voice) = &mut self.voice {
-            voice.ended(call, stood);
-        }
+        self.voice.iter_mut().for_each(|voice| voice.ended(call, stood));
         c.out = None;
         c.failed = Some(attempt.1);
         if !outcome.never_ran() && c.maybe_ran.is_none() {
@@ -831,14 +821,12 @@
         {
             within = within.min(c.aim.mul_f64(TRIAL_CUT));
         }
-        if let Some(voice) = &mut self.voice {
-            voice.sent(now, &c.wanted(now), &s.entry);
-        }
+        self.voice.iter_mut().for_each(|voice| voice.sent(now, &c.wanted(now), &s.entry));
         c.out = Some((AttemptNo(c.attempts), server));
         c.called_off = false;
         c.attempts += 1;
         c.sent_at = now;
-        s.throttle.count_passed();
+        s.throttle.passed += 1;
         s.free = s.free.map(|(free, told)| (free - c.new.width, told));
         s.waiting.insert((now, id));
         s.credit.0 = (s.credit.0 - 1.0).max(0.0);
@@ -909,14 +897,10 @@
         let aim = self.aim();
         let even = self.even_rate();
         for (id, s) in &mut self.servers {
-            if s.cold.is_some() && s.usual_ticks == 0 {
-                s.usual = even;
-            }
+            s.usual = if s.cold.is_some() && s.usual_ticks == 0 { even } else { s.usual };
             let floor = if s.samples < 8 { least } else { s.floor };
             s.tick(now, floor, aim, f_min);
-            if s.cold.is_some_and(|(_, until)| now >= until) {
-                s.cold = None;
-            }
+            s.cold = s.cold.filter(|(_, until)| now < *until);
             let pressed = s.throttle.f < if s.pressed { 0.9 } else { 0.5 };
             if pressed != s.pressed {
                 s.pressed = pressed;
@@ -924,6 +908,7 @@
                 self.actions.push(Action::Log(format!("server {} {word}, f {:.2}", id.0, s.throttle.f)));
             }
         }
+        self.ration(now);
         if let Some(voice) = &mut self.voice {
             let mut servers = self.servers.values().map(|s| {
                 let (ready, well) = (s.entry.state == ServerState::Ready, s.cold.is_none() && !s.suspect);
@@ -939,6 +924,36 @@
         }
     }
 
+    /// Paces the warm servers while a release leaves too few: where their usual rates, with the cold ones'
+    /// share, do not make up for those that left, each is sent its usual rate and what that is uncertain by
+    /// (a count of n is known to root n). Guards against a jam before any reading tells of it: hundreds of
+    /// gateways turn to the same few at once, and one whose line is long does less. Not where φmax times the
+    /// usual rate stays under ρtarg by the usual reading (constant work reads ρ / (2 - ρ)): f keeps up
+    /// there. Could do harm where readings are far too high: more is refused than need be.
+    fn ration(&mut self, now: Time) {
+        let (mut warm, mut share, mut reads, usual) = (0.0, None, Samples::default(), self.stands.0);
+        for s in self.servers.values_mut().filter(|s| s.entry.state == ServerState::Ready) {
+            s.most = None;
+            match s.cold {
+                Some(_) => *share.get_or_insert(0.0) += s.pace(now, &self.settings).unwrap_or(0.0),
+                None => warm += s.usual,
+            }
+            s.throttle.readings.back().copied().flatten().iter().for_each(|r| reads.add(*r));
+        }
+        if let (Some(read), None) = (reads.mean(), share) {
+            self.reads.1 = (self.reads.1 + 1).min(USUAL_TICKS);
+            self.reads.0 += (read - self.reads.0) / f64::from(self.reads.1);
+        }
+        let crowded = RHO_TARGET * (1.0 + self.reads.0) < PHI_MAX * 2.0 * self.reads.0;
+        let counted = usual * f64::from(self.stands.1) * TICK.as_secs_f64();
+        let most = 1.0 + counted.max(1.0).sqrt().recip();
+        if share.is_some_and(|share| crowded && warm * most + share < usual) {
+            let least = LEAST_PACE / f64::from(self.settings.gateways);
+            let warm = self.servers.values_mut().filter(|s| s.cold.is_none());
+            warm.for_each(|s| s.most = Some((most * s.usual).max(least)));
+        }
+    }
+
     /// Forgets servers that are gone, once no call of theirs can matter (those out, and those that may have
     /// run there) and no replacement takes its pace from them. Guards against memory that grows with each
     /// release. Could do harm to one that comes back later under its old id: it starts anew, as cold.
@@ -991,9 +1006,7 @@
             self.subscribed = false;
             return;
         }
-        if kind != ListKind::Cached && self.asked.is_some() {
-            self.subscribed = true;
-        }
+        self.subscribed |= kind != ListKind::Cached && self.asked.is_some();
         if kind != ListKind::Changes {
             for s in self.servers.values_mut().filter(|s| entries.iter().all(|e| e.id != s.entry.id)) {
                 s.entry.state = ServerState::Gone;
--- a/crates/fawnrouter/src/brain_tests.rs
+++ b/crates/fawnrouter/src/brain_tests.rs
@@ -13,7 +13,7 @@
 
 fn ticks(throttle: &mut Throttle, count: usize, passed: u32, reading: Option<f64>) {
     for _ in 0..count {
-        (0..passed).for_each(|_| throttle.count_passed());
+        throttle.passed += passed;
         throttle.assess(reading, F_MIN.1, 1.0);
     }
 }
