--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -216,8 +216,6 @@
     overtake: Duration,
     /// Since when it is gone.
     gone: Option<Time>,
-    /// Set-ups a second that it is sent at the most while too little is warm.
-    most: Option<f64>,
 }
 
 impl Server {
@@ -320,7 +318,6 @@
     /// A cold processor (rule 4): all gateways together send at most what they usually send to it when warm,
     /// times the part that is warm; so each keeps to the budget's share that its own usual rate has.
     /// Few free lines: all gateways are told the same number, and each takes its share of them.
-    /// Too little that is warm: see `ration`.
     /// Could do harm where this gateway's calls grow fast: the server is then used too little.
     fn pace(&self, now: Time, settings: &Settings) -> Option<f64> {
         let (rules, gateways) = (&settings.rules, f64::from(settings.gateways));
@@ -336,7 +333,7 @@
             LINES_PACE * free.max(assumed) / gateways
         });
         let trials = self.suspect.then(|| (TRIAL_PACE * self.usual).max(least));
-        cold.into_iter().chain(lines).chain(trials).chain(self.most).reduce(f64::min)
+        cold.into_iter().chain(lines).chain(trials).reduce(f64::min)
     }
 
     /// Whether the pace allows a set-up now. Credit starts at a random phase: many gateways, each with less
@@ -419,8 +416,6 @@
     ticks: u32,
     /// Own set-ups a second that stand, at all servers together, in the long mean, and the ticks it is of.
     stands: (f64, u32),
-    /// The usual reading of warm servers, and the ticks it is of.
-    reads: (f64, u32),
     next_sweep: Time,
     listed: bool,
     asked: Option<Time>,
@@ -447,7 +442,6 @@
             next_tick: Time::default(),
             ticks: 0,
             stands: (0.0, 0),
-            reads: (0.0, 0),
             next_sweep: Time::default(),
             listed: false,
             asked: None,
@@ -908,7 +902,6 @@
                 self.actions.push(Action::Log(format!("server {} {word}, f {:.2}", id.0, s.throttle.f)));
             }
         }
-        self.ration(now);
         if let Some(voice) = &mut self.voice {
             let mut servers = self.servers.values().map(|s| {
                 let (ready, well) = (s.entry.state == ServerState::Ready, s.cold.is_none() && !s.suspect);
@@ -924,36 +917,6 @@
         }
     }
 
-    /// Paces the warm servers while a release leaves too few: where their usual rates, with the cold ones'
-    /// share, do not make up for those that left, each is sent its usual rate and what that is uncertain by
-    /// (a count of n is known to root n). Guards against a jam before any reading tells of it: hundreds of
-    /// gateways turn to the same few at once, and one whose line is long does less. Not where φmax times the
-    /// usual rate stays under ρtarg by the usual reading (constant work reads ρ / (2 - ρ)): f keeps up
-    /// there. Could do harm where readings are far too high: more is refused than need be.
-    fn ration(&mut self, now: Time) {
-        let (mut warm, mut share, mut reads, usual) = (0.0, None, Samples::default(), self.stands.0);
-        for s in self.servers.values_mut().filter(|s| s.entry.state == ServerState::Ready) {
-            s.most = None;
-            match s.cold {
-                Some(_) => *share.get_or_insert(0.0) += s.pace(now, &self.settings).unwrap_or(0.0),
-                None => warm += s.usual,
-            }
-            s.throttle.readings.back().copied().flatten().iter().for_each(|r| reads.add(*r));
-        }
-        if let (Some(read), None) = (reads.mean(), share) {
-            self.reads.1 = (self.reads.1 + 1).min(USUAL_TICKS);
-            self.reads.0 += (read - self.reads.0) / f64::from(self.reads.1);
-        }
-        let crowded = RHO_TARGET * (1.0 + self.reads.0) < PHI_MAX * 2.0 * self.reads.0;
-        let counted = usual * f64::from(self.stands.1) * TICK.as_secs_f64();
-        let most = 1.0 + counted.max(1.0).sqrt().recip();
-        if share.is_some_and(|share| crowded && warm * most + share < usual) {
-            let least = LEAST_PACE / f64::from(self.settings.gateways);
-            let warm = self.servers.values_mut().filter(|s| s.cold.is_none());
-            warm.for_each(|s| s.most = Some((most * s.usual).max(least)));
-        }
-    }
-
     /// Forgets servers that are gone, once no call of theirs can matter (those out, and those that may have
     /// run there) and no replacement takes its pace from them. Guards against memory that grows with each
     /// release. Could do harm to one that comes back later under its old id: it starts anew, as cold.
--- a/crates/fawnrouter/tests/symptoms.rs
+++ b/crates/fawnrouter/tests/symptoms.rs
@@ -310,39 +310,3 @@
     assert_eq!(off, 2, "it has overtaken both");
     assert!(!issued(&g.tell(Event::Call(call(4, 0, 0)))).is_empty(), "and the server is open");
 }
-
-/// Calls come every 50 ms for ten servers in turn, each of which answers after `took`; after 24 s the first `leave` drain and
-/// as many cold ones stand in their place. Tells what each warm and each cold one was sent in the next 5 s, and the calls.
-fn release_of(leave: u32, took: u64) -> (usize, usize, usize) {
-    let mut g = Gateway::with_servers(Settings { gateways: 1, ..settings() }, 10);
-    let round = |g: &mut Gateway, from: u64, count: u64| -> Vec<u32> {
-        (from..from + count)
-            .flat_map(|id| g.serve(id..id + 1, (id % 10) as u32, 50, |_| Some(took)))
-            .collect()
-    };
-    round(&mut g, 0, 480);
-    let state = |n: u32| if n < leave { ServerState::Draining } else { ServerState::Ready };
-    let mut entries: Vec<ServerEntry> = (0..10).map(|n| entry(70 + n, state(n))).collect();
-    let cold = |n| ServerEntry { up_since: Some(g.now), ..entry(80 + n, ServerState::Ready) };
-    entries.extend((0..leave).map(cold));
-    g.tell(Event::List { kind: ListKind::Whole, entries });
-    g.pass(ms(200));
-    let sent = round(&mut g, 1000, 100);
-    let warm = sent.iter().filter(|s| (70 + leave..80).contains(*s)).count();
-    (warm / (10 - leave) as usize, sent.len() - warm, sent.len())
-}
-
-#[test]
-fn warm_servers_are_sent_no_more_than_they_can_do_when_most_others_are_replaced_at_once() {
-    // 20 calls a second, 2 to each. A delay of 0.38 s reads as 0.51 at an aim of 2 s: 0.67 of what each can do.
-    let (warm, cold, all) = release_of(7, 380);
-    assert!(warm <= 12, "{warm} in 5 s to each, 10 are usual ({cold} to cold ones, {all} in all)");
-}
-
-#[test]
-fn servers_with_much_room_and_single_replacements_are_not_rationed() {
-    let (warm, cold, all) = release_of(7, 250);
-    assert!(warm >= 16, "{warm} in 5 s to each ({cold} to cold ones, {all} in all)");
-    let (warm, cold, all) = release_of(1, 45);
-    assert!(all >= 97, "{all} of 100: {warm} to each warm one, {cold} to the cold one");
-}
