No connection to a draining switch at which no call stands

`need` in node/trunk.rs asks for a connection to every listed switch that is not ready, so that each of 300 restarted gateways dials those on their way out, and dials them again when they are gone.

Change: a switch that is not ready needs a connection only while a call of this gateway's stands there. A caller that names such a call after a restart has it opened then.

Result: the new test fails before (a gateway that has just begun dials the draining one).

--- a/crates/fawnrouter-node/src/node/trunk.rs
+++ b/crates/fawnrouter-node/src/node/trunk.rs
@@ -12,14 +12,16 @@
 use crate::request::cause;
 
 impl Node {
-    /// What connections to a core switch are needed for.
+    /// What connections to a core switch are needed for. One that drains has nothing to say where no call of this
+    /// gateway's stands there. Guards against connections that hundreds of restarted gateways open to switches on
+    /// their way out, and again when those are gone. Could do harm where a caller names a call that stands there: the
+    /// connection is opened then, some milliseconds later.
     pub(super) fn need(&self, server: ServerId) -> Need {
         let listed = self.servers.get(&server).and_then(|s| s.listed.as_ref());
         match listed.map(|l| l.state) {
             Some(ServerState::Ready) => Need::SetUps,
-            Some(_) => Need::Releases,
-            None if self.calls.stands_at(server) => Need::Releases,
-            None => Need::None,
+            _ if self.calls.stands_at(server) => Need::Releases,
+            _ => Need::None,
         }
     }
 
--- a/crates/fawnrouter-node/tests/calls.rs
+++ b/crates/fawnrouter-node/tests/calls.rs
@@ -507,6 +507,33 @@
     assert!(!rig.up.is_empty());
 }
 
+#[test]
+fn a_draining_switch_is_dialled_only_while_a_call_stands_there() {
+    let dials = |rig: &Rig, port: u16| {
+        let opened = rig.seen.iter().filter(|(_, o)| match o {
+            Output::OpenLink { address, .. } => address.port() == port,
+            _ => false,
+        });
+        opened.count()
+    };
+    let lines = [("s-1", 7001, "Ready", 0), ("s-2", 7002, "Terminating", 0)];
+    let mut rig = Rig::with(&lines);
+    rig.pass(3000);
+    assert_eq!((dials(&rig, 7001), dials(&rig, 7002)), (1, 0), "a gateway that has just begun");
+    let client = rig.connect();
+    rig.client_says(
+        client,
+        r#"{"verb":"START","tag":"0000000000000007","blob":"offer","opts":{"class":"voice","extras":"at:s-2"}}"#,
+    );
+    assert_eq!(dials(&rig, 7002), 1, "its caller names a call that stands there");
+    let (link, _) = rig.links.iter().find(|(_, port)| **port == 7002).expect("a connection");
+    rig.finish(*link, 7, 16);
+    assert_eq!(rig.told(7), [(Verb::Finish, Some(16))]);
+    rig.all_broken(7002);
+    rig.pass(3000);
+    assert_eq!(dials(&rig, 7002), 1, "nothing stands there any more");
+}
+
 #[test]
 fn a_long_day_of_new_switches_clients_and_calls_leaves_nothing_behind() {
     let mut rig = Rig::new(1);
