--- a/crates/fawnrouter-lab/tests/admission.rs
+++ b/crates/fawnrouter-lab/tests/admission.rs
@@ -513,8 +513,9 @@
 
 #[test]
 fn a_gateway_that_is_killed_in_mid_window_knows_what_it_spent_across_zones() {
-    // Its zone has no switch, so that every call crosses; three a day may.
-    let zones = "zones: { own: kochi, account: account, budgets: [{ window: day, calls: 3 }] }\n\
+    // Its zone has no switch, so that every call crosses; three a day may. Worth does not matter: early in the day the
+    // price would keep the third for later.
+    let zones = "zones: { own: kochi, account: account, points_a_unit: 0, budgets: [{ window: day, calls: 3 }] }\n\
                  control: { socket: control }";
     let (address, _told) = switch(ok_for_all);
     let put_far = |folder: &std::path::Path| {
