Reasons and plain steps back in the module; two tests of the edges looked past their case

Cause: read once more. Room made for the ration had cost two constants part of their reason and made two plain ifs into expressions; the ration is gone, so the room is not needed. In tests/edges.rs the test of told lists counted from after the list's turn and knew no connection that was closed by the end; the one of second refusals checked only where the next attempt had another connection.

--- a/crates/fawnrouter-node/tests/edges.rs
+++ b/crates/fawnrouter-node/tests/edges.rs
@@ -8,7 +8,7 @@
 use common::*;
 use fawnrouter_node::fawnrouter::Time;
 use fawnrouter_node::jsonl::Verb;
-use fawnrouter_node::{Ask, ClientId, Input, LinkEnd, LinkId};
+use fawnrouter_node::{Ask, ClientId, Input, LinkEnd, LinkId, Output};
 
 /// "An event counts as told at the latest 1.5 s after it happened".
 const TOLD_AT_THE_LATEST_MS: u64 = 1500;
@@ -60,15 +60,24 @@
         (1..=30).for_each(|tag| rig.call(client, tag, 4000));
         let held = (1..=30).filter(|tag| rig.starts(*tag).is_empty()).count();
         assert!(held > 0, "some are held");
-        rig.input(Input::Known(pool(2, &[("s-1", 7001, told, 0), ready[1]])));
         let at = rig.seen.len();
+        rig.input(Input::Known(pool(2, &[("s-1", 7001, told, 0), ready[1]])));
         (31..=60).for_each(|tag| rig.call(client, tag, 4000));
         rig.pass(4000);
         let sent = rig.seen[at..].iter().filter_map(|(_, output)| match output {
-            fawnrouter_node::Output::ToLink { link, line } => Some((*link, parse(line).ok()?.verb)),
+            Output::ToLink { link, line } => Some((*link, parse(line).ok()?.verb)),
             _ => None,
         });
-        let first: Vec<LinkId> = rig.links.iter().filter(|(_, p)| **p == 7001).map(|(l, _)| *l).collect();
+        // Those that are closed by now among them.
+        let first: Vec<LinkId> = rig
+            .seen
+            .iter()
+            .filter_map(|(_, output)| match output {
+                Output::OpenLink { link, address, .. } if address.port() == 7001 => Some(*link),
+                _ => None,
+            })
+            .collect();
+        assert!(!first.is_empty());
         assert_eq!(sent.filter(|(l, verb)| *verb == Verb::Start && first.contains(l)).count(), 0, "{told}");
     }
 }
@@ -137,7 +146,7 @@
     rig.started(link, 7);
     rig.finish(link, 7, 16);
     assert_eq!(rig.told(7), [(Verb::Started, None), (Verb::Finish, Some(16))]);
-    // Of a refusal: the call is out elsewhere by then, on the same connection or on another, and is not ended there.
+    // Of a refusal: the call is out elsewhere by then, and is not ended there.
     for rc in [34, 17, 47, 102] {
         let mut rig = Rig::new(2);
         let client = rig.connect();
@@ -146,12 +155,10 @@
         rig.finish(first, 7, rc);
         rig.pass(30);
         let starts = rig.starts(7);
-        assert_eq!(starts.len(), 2, "{rc}");
-        if starts[1].1 != first {
-            rig.finish(first, 7, rc);
-            rig.started(first, 7);
-            assert!(rig.told(7).is_empty() && rig.starts(7).len() == 2, "{rc}");
-        }
+        assert!(starts.len() == 2 && starts[1].1 != first, "{rc}");
+        rig.finish(first, 7, rc);
+        rig.started(first, 7);
+        assert!(rig.told(7).is_empty() && rig.starts(7).len() == 2, "{rc}");
         rig.started(starts[1].1, 7);
         rig.pass(5000);
         assert_eq!((rig.told(7), rig.starts(7).len()), (vec![(Verb::Started, None)], 2), "{rc}");
--- a/crates/fawnrouter/src/brain.rs
+++ b/crates/fawnrouter/src/brain.rs
@@ -23,7 +23,8 @@
 const RHO_LEARN: f64 = 0.3;
 /// φmax: the fraction allowed grows by this much a tick at the most.
 const PHI_MAX: f64 = 1.25;
-/// Without a reading f grows by φmax in this many usual set-ups: as long as it takes to hear again. Ours.
+/// Without a reading f grows by φmax in this many usual set-ups of this gateway: what it heard last holds as
+/// long as it takes to hear again. Ours.
 const UNREAD_SETUPS: f64 = 0.4;
 /// The least share of φmax's exponent a tick, so that no server stays shut out.
 const UNREAD_LEAST: f64 = 0.25;
@@ -52,7 +53,8 @@
 const USUAL_TICKS: u32 = 100;
 /// A trial is given this share of the aim: one that waits is sent again, which is work again.
 const TRIAL_CUT: f64 = 0.5;
-/// A set-up answered though sent this share of the shortest aim later shows that an earlier answer is lost.
+/// A set-up answered though sent this share of the shortest aim later than another shows that the
+/// other's answer is lost. A share: what is late at one site's aims is nothing at another's.
 const OVERTAKE_SHARE: f64 = 0.05;
 /// So many set-ups in a row that nobody answered, or that found its processor full, make a server suspect.
 const MISSES: u32 = 2;
@@ -555,7 +557,9 @@
         *level = (*level - rate * now.since(*last).as_secs_f64()).max(0.0);
         *last = now;
         let within = *level + 1.0 <= (rate * QUOTA_BURST_S).max(1.0);
-        *level += if within { 1.0 } else { 0.0 };
+        if within {
+            *level += 1.0;
+        }
         within
     }
 
@@ -891,7 +895,9 @@
         let aim = self.aim();
         let even = self.even_rate();
         for (id, s) in &mut self.servers {
-            s.usual = if s.cold.is_some() && s.usual_ticks == 0 { even } else { s.usual };
+            if s.cold.is_some() && s.usual_ticks == 0 {
+                s.usual = even;
+            }
             let floor = if s.samples < 8 { least } else { s.floor };
             s.tick(now, floor, aim, f_min);
             s.cold = s.cold.filter(|(_, until)| now < *until);
