Admission: setups.rs split into small modules of one job each

Change: a directory module; settings, verdict, call and queue are moved as they were, rates, send_rate and calls extracted, offer made three functions; the inline tests moved unchanged into tests.rs.

--- /dev/null
+++ b/crates/fawnrouter-admission/src/setups/tests.rs
@@ -0,0 +1,268 @@
+//! Tests of the decision on set-ups.
+
+use super::*;
+use crate::limiter::Rate;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn limits(pending: usize) -> ClientLimits {
+    ClientLimits { weight: 1, rate: Rate::per_second(1e6, 1000), pending, calls: 1000 }
+}
+
+fn settings() -> SetUpSettings {
+    SetUpSettings {
+        known: limits(100),
+        stranger: limits(50),
+        strangers_weight: 1,
+        strangers_rate: None,
+        strangers_share: 1.0,
+        held_least: 4,
+        held_span: ms(100),
+        waiting: 40,
+        wait: ms(500),
+        addresses: 100,
+        retry_after: ms(1000),
+        seed: 1,
+    }
+}
+
+fn known(name: &str) -> Who {
+    Who::Known(name.into())
+}
+
+fn stranger(n: u8) -> Who {
+    Who::Stranger(IpAddr::from([127, 0, 0, n]))
+}
+
+fn refused(turn: Turn) -> Option<SetUpRefusal> {
+    match turn {
+        Turn::Refuse { why, .. } => Some(why),
+        _ => None,
+    }
+}
+
+/// One of the calls with which another client fills the room.
+fn fill(s: &mut SetUps, call: u64) {
+    assert_eq!(s.offer(ms(0), known("full"), call).0, Turn::Go);
+}
+
+#[test]
+fn set_ups_go_on_at_once_while_there_is_room_and_wait_their_turn_beyond_it() {
+    let mut s = SetUps::new(settings());
+    let turns: Vec<Turn> = (0..8).map(|n| s.offer(ms(0), known("a"), n).0).collect();
+    assert_eq!(turns[..4], [Turn::Go; 4]);
+    assert_eq!(turns[4..], [Turn::Wait; 4]);
+    assert_eq!(s.offer(ms(0), known("b"), 100).0, Turn::Wait);
+    assert_eq!((s.next(ms(1)), s.held(), s.waiting()), (None, 4, 5));
+    // Each that is sent makes room for another, and b's comes second.
+    let mut order = Vec::new();
+    for sent in 0..4 {
+        s.moved(ms(2), sent, Stay::Out);
+        order.extend(std::iter::from_fn(|| s.next(ms(2))));
+    }
+    assert_eq!(order, [4, 100, 5, 6], "{order:?}");
+}
+
+#[test]
+fn what_may_be_held_follows_what_is_sent() {
+    let mut s = SetUps::new(SetUpSettings { held_span: ms(500), ..settings() });
+    assert_eq!(s.room(), 4);
+    for n in 0..2000 {
+        let now = ms(10 * n);
+        assert_eq!(s.offer(now, known("a"), n).0, Turn::Go);
+        s.moved(now, n, Stay::Out);
+        s.over(now, n);
+    }
+    assert!((50..=58).contains(&s.room()), "100 a second for half a second: {}", s.room());
+}
+
+#[test]
+fn a_call_that_comes_back_from_an_attempt_is_held_again_and_never_asked_to_wait() {
+    let mut s = SetUps::new(settings());
+    for n in 0..4 {
+        let _ = s.offer(ms(0), known("a"), n);
+        s.moved(ms(1), n, Stay::Out);
+    }
+    for n in 0..4 {
+        s.moved(ms(2), n, Stay::Held);
+    }
+    assert_eq!(s.held(), 4);
+    s.moved(ms(3), 0, Stay::Out);
+    s.moved(ms(4), 0, Stay::Standing);
+    s.over(ms(5), 1);
+    assert_eq!(s.held(), 2);
+    assert_eq!(s.largest(9), [(known("a"), 2, 3)]);
+}
+
+#[test]
+fn each_limit_of_a_client_refuses_under_its_own_name() {
+    let mut s = SetUps::new(settings());
+    let own = ClientLimits { weight: 1, rate: Rate::per_second(1.0, 3), pending: 2, calls: 3 };
+    s.set_clients([("small".into(), own)]);
+    let offer = |s: &mut SetUps, now: u64, n: u64| refused(s.offer(ms(now), known("small"), n).0);
+    assert_eq!((offer(&mut s, 0, 1), offer(&mut s, 0, 2)), (None, None));
+    assert_eq!(offer(&mut s, 0, 3), Some(SetUpRefusal::Pending));
+    s.moved(ms(0), 1, Stay::Standing);
+    s.moved(ms(0), 2, Stay::Standing);
+    assert_eq!(offer(&mut s, 0, 3), None);
+    s.moved(ms(0), 3, Stay::Standing);
+    assert_eq!(offer(&mut s, 0, 4), Some(SetUpRefusal::Calls));
+    (1..4).for_each(|n| s.over(ms(0), n));
+    assert_eq!(offer(&mut s, 0, 5), Some(SetUpRefusal::Rate));
+    assert_eq!(offer(&mut s, 1000, 5), None, "refusals did not use up its rate");
+    assert_eq!(refused(s.offer(ms(1000), known("other"), 6).0), None);
+    assert_eq!(s.refused().values().sum::<u64>(), 3);
+}
+
+#[test]
+fn strangers_share_one_lane_and_divide_it_by_address() {
+    let mut s = SetUps::new(settings());
+    (0..4).for_each(|n| fill(&mut s, n));
+    // Nine strangers and one known client, each with two that wait.
+    for n in 0..9u8 {
+        let _ = s.offer(ms(0), stranger(n), 100 + u64::from(n));
+        let _ = s.offer(ms(0), stranger(n), 200 + u64::from(n));
+    }
+    let _ = s.offer(ms(0), known("a"), 1000);
+    let _ = s.offer(ms(0), known("a"), 1001);
+    let mut order = Vec::new();
+    (0..4).for_each(|n| s.over(ms(1), n));
+    for _ in 0..20 {
+        let Some(next) = s.next(ms(1)) else { break };
+        s.over(ms(1), next);
+        order.push(next);
+    }
+    assert_eq!(order[..6], [100, 1000, 101, 1001, 102, 103]);
+    assert_eq!((order.len(), s.waiting(), s.held()), (20, 0, 0));
+    assert!(s.largest(9).is_empty());
+}
+
+#[test]
+fn a_flood_of_strangers_cannot_take_the_places_of_a_known_client() {
+    let mut s = SetUps::new(settings());
+    (0..4).for_each(|n| fill(&mut s, n));
+    let mut pushed = 0;
+    for n in 0..500u64 {
+        let (_, out) = s.offer(ms(0), stranger((n % 250) as u8), 1000 + n);
+        pushed += usize::from(out.is_some());
+    }
+    assert_eq!((s.waiting(), pushed), (40, 0), "all of them alike: the newcomers are turned away");
+    for n in 0..10 {
+        let (turn, out) = s.offer(ms(0), known("a"), 5000 + n);
+        assert_eq!(turn, Turn::Wait);
+        assert!(out.is_some_and(|(call, _)| (1000..2000).contains(&call)), "{out:?}");
+    }
+    assert_eq!(s.waiting(), 40);
+}
+
+#[test]
+fn what_strangers_may_have_held_leaves_room_for_known_clients() {
+    let mut s = SetUps::new(SetUpSettings { held_least: 8, strangers_share: 0.25, ..settings() });
+    let turns: Vec<Turn> = (0..5).map(|n| s.offer(ms(0), stranger(n as u8), n).0).collect();
+    assert_eq!(turns, [Turn::Go, Turn::Go, Turn::Wait, Turn::Wait, Turn::Wait]);
+    let turns: Vec<Turn> = (10..17).map(|n| s.offer(ms(0), known("a"), n).0).collect();
+    assert_eq!(turns[..6], [Turn::Go; 6], "past the strangers that wait");
+    assert_eq!(turns[6], Turn::Wait);
+    s.over(ms(1), 10);
+    assert_eq!((s.next(ms(1)), s.next(ms(1))), (Some(16), None), "the strangers keep their places");
+    s.moved(ms(2), 0, Stay::Out);
+    assert_eq!(s.next(ms(2)), Some(2));
+}
+
+#[test]
+fn all_strangers_together_are_held_to_their_rate_and_known_clients_are_not() {
+    let rate = Rate::per_second(10.0, 5);
+    let mut s = SetUps::new(SetUpSettings { strangers_rate: Some(rate), held_least: 1000, ..settings() });
+    let mut went = (0, 0);
+    for n in 0..1000u64 {
+        let now = ms(n);
+        went.0 += usize::from(s.offer(now, stranger((n % 200) as u8), n).0 == Turn::Go);
+        went.1 += usize::from(n % 100 == 0 && s.offer(now, known("a"), 10_000 + n).0 == Turn::Go);
+        s.over(now, n);
+        s.over(now, 10_000 + n);
+    }
+    assert_eq!(went, (14, 10));
+    assert_eq!(s.refused()[&SetUpRefusal::Strangers], 986);
+}
+
+#[test]
+fn one_that_waited_too_long_or_whose_caller_left_leaves_nothing_behind() {
+    let mut s = SetUps::new(settings());
+    (0..4).for_each(|n| fill(&mut s, n));
+    for (n, who) in [known("a"), stranger(1), stranger(2)].into_iter().enumerate() {
+        assert_eq!(s.offer(ms(0), who, 10 + n as u64).0, Turn::Wait);
+    }
+    s.over(ms(1), 11);
+    assert_eq!(s.waited(ms(500), 10).and_then(refused), Some(SetUpRefusal::Waited));
+    assert_eq!(s.waited(ms(500), 0), None, "it is not waiting");
+    (0..4).for_each(|n| s.over(ms(600), n));
+    assert_eq!((s.next(ms(600)), s.next(ms(600))), (Some(12), None));
+    s.over(ms(700), 12);
+    assert!(s.largest(9).is_empty() && s.waiting() == 0 && s.held() == 0);
+}
+
+#[test]
+fn counts_hold_in_a_long_seeded_run() {
+    let mut s = SetUps::new(SetUpSettings { strangers_share: 0.5, ..settings() });
+    let (mut state, mut live, mut next) = (3u64, BTreeMap::<u64, Stay>::new(), 0u64);
+    let mut taken = 0u64;
+    for step in 0..60_000u64 {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let (dice, now) = ((state >> 33) % 10, ms(step));
+        let some = live.keys().nth((state >> 40) as usize % live.len().max(1)).copied();
+        match dice {
+            0..4 => {
+                next += 1;
+                let who = match (state >> 50) % 7 {
+                    n @ 0..3 => known(["a", "b", "c"][n as usize]),
+                    n => stranger(n as u8),
+                };
+                let (turn, pushed) = s.offer(now, who, next);
+                match turn {
+                    Turn::Go => drop(live.insert(next, Stay::Held)),
+                    Turn::Wait => drop(live.insert(next, Stay::Waiting)),
+                    Turn::Refuse { .. } => {}
+                }
+                if let Some((call, _)) = pushed {
+                    assert_eq!(live.remove(&call), Some(Stay::Waiting));
+                }
+            }
+            4..8 => {
+                if let Some(call) = some.filter(|c| live[c] != Stay::Waiting) {
+                    let to = [Stay::Out, Stay::Held, Stay::Standing][(dice % 3) as usize];
+                    if live[&call] != Stay::Standing {
+                        live.insert(call, to);
+                        s.moved(now, call, to);
+                    }
+                }
+            }
+            _ => {
+                if let Some(call) = some {
+                    live.remove(&call);
+                    s.over(now, call);
+                }
+            }
+        }
+        while let Some(call) = s.next(now) {
+            assert_eq!(live.insert(call, Stay::Held), Some(Stay::Waiting));
+            taken += 1;
+        }
+        let count = |stay| live.values().filter(|s| **s == stay).count();
+        assert_eq!((s.waiting(), s.held()), (count(Stay::Waiting), count(Stay::Held)));
+        assert!(s.waiting() <= 40 && (s.waiting() == 0 || s.held() >= s.room() || s.inner.waiting() > 0));
+        let strangers = |e: &&Entry| e.stay == Stay::Held && matches!(e.who, Who::Stranger(_));
+        assert_eq!(s.held_strangers, s.entries.values().filter(strangers).count());
+        assert_eq!(
+            s.inner.waiting(),
+            s.entries
+                .values()
+                .filter(|e| { e.stay == Stay::Waiting && matches!(e.who, Who::Stranger(_)) })
+                .count()
+        );
+    }
+    assert!(taken > 100, "{taken}");
+    live.keys().for_each(|call| s.over(ms(60_000), *call));
+    assert!(s.holders.is_empty() && s.entries.is_empty() && s.waiting() == 0 && s.held() == 0);
+}
