Engine: import cycle of engine, gate and table dissolved

Cause: Identity and Key lay in modules above those that use them. Change: due.rs (LegId, Key), identity.rs, identify.rs and turns.rs hold moved code; gate keeps its state alone; no use cycle is left.

--- a/crates/fawnrouter-engine/src/caller.rs
+++ b/crates/fawnrouter-engine/src/caller.rs
@@ -8,12 +8,13 @@
 use fawnrouter_sip::{Address, Dialog, Draft, Message, Method, Name, Start, Uri, UriError};
 use rand_core::RngCore;
 
+use crate::due::{Key, LegId};
 use crate::engine::Engine;
-use crate::gate::Passage;
+use crate::identify::Passage;
 use crate::intake::Load;
 use crate::interface::{CallWord, ClientId, Output};
 use crate::status::{Answer, whole_seconds};
-use crate::table::{Call, Key, LegId, Stage};
+use crate::table::{Call, Stage};
 
 /// Methods that the gateway takes (RFC 3261 §20.5).
 pub(crate) const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, OPTIONS";
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -13,7 +13,9 @@
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
-use crate::gate::{Gate, Identity};
+use crate::due::{Key, LegId};
+use crate::gate::Gate;
+use crate::identity::Identity;
 use crate::intake::Intake;
 use crate::interface::*;
 use crate::status;
--- a/crates/fawnrouter-engine/src/interface.rs
+++ b/crates/fawnrouter-engine/src/interface.rs
@@ -8,9 +8,12 @@
 use fawnrouter_sip::Message;
 
 use fawnrouter_admission::SetUpSettings;
+use fawnrouter_machine::BackoffSettings;
 use fawnrouter_zones::{Saved, ZoneSettings};
 
-use crate::{AuthSettings, BackoffSettings, CallRules, IntakeLimits, KnownClient};
+use crate::classify::CallRules;
+use crate::identity::{AuthSettings, KnownClient};
+use crate::intake::IntakeLimits;
 
 /// A client's connection, as the driver numbers it. Numbers are never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/fawnrouter-engine/src/lib.rs
+++ b/crates/fawnrouter-engine/src/lib.rs
@@ -10,22 +10,29 @@
 //!
 //! | module | what it decides or does |
 //! | --- | --- |
-//! | `gate` | who a client is, and whose set-up is next: asked here, decided in crates of their own |
+//! | `gate` | the decisions before the controller's, made in crates of their own |
+//! | `identify` | who a client is, and what its request is answered if that does not do |
+//! | `turns` | whose set-up is next |
 //! | `intake` | which new call is taken at all: limits, drain |
 //! | `classify` | class, tenant and first-choice pool of a call, by rules in the settings |
 //! | `status` | the written table of SIP status and [`fawnrouter::Outcome`], both ways |
 //! | `caller`, `trunk` | messages of the caller's leg and of the attempt legs |
 //! | `engine` | inputs, the controller's events and actions, timers |
+//! | `table`, `due`, `identity` | calls, legs, connections; what comes due; what a client has shown of itself |
 
 mod caller;
 mod classify;
+mod due;
 mod engine;
 mod gate;
+mod identify;
+mod identity;
 mod intake;
 mod interface;
 mod status;
 mod table;
 mod trunk;
+mod turns;
 
 pub use classify::{CallRules, Classified, Destination, Match, Rule};
 pub use engine::{Engine, EngineError};
@@ -35,7 +42,7 @@
 pub use fawnrouter_machine::{Backoff, BackoffSettings, Decide};
 pub use fawnrouter_sip as sip;
 pub use fawnrouter_zones as zones;
-pub use gate::{AuthSettings, KnownClient, Strangers};
+pub use identity::{AuthSettings, KnownClient, Strangers};
 pub use intake::{Intake, IntakeLimits, Load, Refusal};
 pub use interface::*;
 pub use status::{Answer, Finality, Meaning, Told, answer_to_caller, meaning, overload_words, whole_seconds};
--- a/crates/fawnrouter-engine/src/table.rs
+++ b/crates/fawnrouter-engine/src/table.rs
@@ -4,18 +4,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fawnrouter::{AttemptNo, CallId, NewCall, Note, ServerId, Time, TimerId};
+use fawnrouter::{AttemptNo, CallId, NewCall, Note, ServerId, Time};
 use fawnrouter_sip::transaction::{InviteClient, InviteServer};
 use fawnrouter_sip::{Dialog, Message};
 
-use crate::gate::Identity;
+use crate::due::{Key, LegId};
+use crate::identity::Identity;
 use crate::interface::{ClientId, Switch};
 use fawnrouter_machine::{Backoff, Due};
 
-/// An attempt's leg to a switch.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct LegId(pub u64);
-
 /// Where a call stands.
 #[derive(Debug)]
 pub(crate) enum Stage {
@@ -122,19 +119,6 @@
     pub identity: Identity,
 }
 
-/// What comes due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Key {
-    /// A timer of the controller.
-    Module(TimerId),
-    /// A call's time is up, or its ACK has not come.
-    Call(CallId),
-    /// A leg's time-out, or its end of patience.
-    Leg(LegId),
-    /// A connection may be tried again.
-    Trunk(ServerId),
-}
-
 /// Calls, legs, switches and clients, each found by its id.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
--- a/crates/fawnrouter-engine/src/trunk.rs
+++ b/crates/fawnrouter-engine/src/trunk.rs
@@ -9,10 +9,11 @@
 use rand_core::RngCore;
 
 use crate::caller::{ALLOW, to_tag};
+use crate::due::{Key, LegId};
 use crate::engine::Engine;
 use crate::interface::{CallWord, Output};
 use crate::status::{self, Finality, Told};
-use crate::table::{Key, Leg, LegId, LegState, Stage};
+use crate::table::{Leg, LegState, Stage};
 
 /// Fields of the caller's INVITE that the gateway writes itself or that concern one hop only. All others pass.
 const OWN: [&str; 15] = [
--- /dev/null
+++ b/crates/fawnrouter-engine/src/turns.rs
@@ -0,0 +1,89 @@
+//! Before a call reaches the controller: whether its set-up's turn has come. Decided in `fawnrouter_admission`; here
+//! are the answers and timers that follow.
+
+use fawnrouter::{CallId, Event, NewCall};
+use fawnrouter_admission::{SetUps, Stay, Turn};
+
+use crate::due::Key;
+use crate::engine::Engine;
+use crate::interface::ClientId;
+use crate::status::{Answer, whole_seconds};
+
+impl Engine {
+    /// Whether a new set-up may go on, wait, or not.
+    pub(crate) fn judge_set_up(&mut self, client: ClientId, id: CallId) -> Turn {
+        let (Some(set_ups), Some(known)) = (&mut self.gate.set_ups, self.table.clients.get(&client)) else {
+            return Turn::Go;
+        };
+        let (turn, pushed) = set_ups.offer(self.now.0, known.identity.who(), id.0);
+        if let Some((other, turn)) = pushed {
+            self.turn_away(CallId(other), turn);
+        }
+        turn
+    }
+
+    /// The final answer of a call that waited in vain.
+    fn turn_away(&mut self, id: CallId, turn: Turn) {
+        if let Turn::Refuse { why, retry_after } = turn {
+            self.counters.refused += 1;
+            let retry_after_s = Some(whole_seconds(retry_after).max(1));
+            self.answer_final(id, Answer { status: 503, retry_after_s, text: why.text() });
+        }
+    }
+
+    /// A call that may wait has waited for as long as it may; `false` if it does not wait.
+    pub(crate) fn waited(&mut self, id: CallId) -> bool {
+        let now = self.now.0;
+        let turn = self.gate.set_ups.as_mut().and_then(|s| s.waited(now, id.0));
+        match turn {
+            Some(turn) => {
+                self.turn_away(id, turn);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Hands a call to the controller.
+    pub(crate) fn hand_over(&mut self, mut call: NewCall) {
+        let Some(known) = self.table.calls.get(&call.id) else { return };
+        let due = known.due;
+        call.left = due.since(self.now);
+        self.table.due.set(Key::Call(call.id), due);
+        self.events.push_back(Event::Call(call));
+    }
+
+    /// Hands over the calls whose turn has come.
+    pub(crate) fn give_turns(&mut self) {
+        let now = self.now.0;
+        while let Some(id) = self.gate.set_ups.as_mut().and_then(|s| s.next(now)) {
+            let waiting = self.table.calls.get_mut(&CallId(id)).and_then(|c| c.waits.take());
+            if let Some(call) = waiting {
+                self.hand_over(call);
+                self.run();
+            }
+        }
+    }
+
+    /// Tells the gate where a call is.
+    pub(crate) fn stays(&mut self, id: CallId, stay: Stay) {
+        let now = self.now.0;
+        if let Some(set_ups) = &mut self.gate.set_ups {
+            set_ups.moved(now, id.0, stay);
+        }
+    }
+
+    /// Tells the gate that a call is over.
+    pub(crate) fn leaves(&mut self, id: CallId) {
+        let now = self.now.0;
+        if let Some(set_ups) = &mut self.gate.set_ups {
+            set_ups.over(now, id.0);
+        }
+    }
+
+    /// The decisions on set-ups, for operators, if they are on.
+    #[must_use]
+    pub fn set_ups(&self) -> Option<&SetUps> {
+        self.gate.set_ups.as_ref()
+    }
+}
