Daemon and lab: import cycles control/serve and flood/script dissolved

Cause: control returned serve's error, script used flood's Way. Change: control::listen returns io::Result and serve names the error, with the same text; Way belongs to script.

--- a/crates/fawnrouter-lab/src/flood.rs
+++ b/crates/fawnrouter-lab/src/flood.rs
@@ -14,38 +14,11 @@
 use fawnrouter_sip::{Dialog, Draft, Limits, Message, Method, Name};
 use fawnrouter_ws::{ClientHandshake, Decoder, Event, HandshakeError, HttpLimits, Opcode, Role, encode};
 use futures_lite::{AsyncWriteExt, future};
-use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use socket2::{Domain, Socket, Type};
 
 use crate::script::Trouble;
-
-/// What strangers do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, clap::ValueEnum)]
-#[serde(rename_all = "lowercase")]
-pub enum Way {
-    /// They connect, upgrade and do nothing.
-    Idle,
-    /// They send their request one byte a second.
-    Slow,
-    /// They upgrade, ask and never read.
-    Deaf,
-    /// They call.
-    Calls,
-}
-
-impl Way {
-    /// Its name in reports.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Idle => "idle",
-            Self::Slow => "slow",
-            Self::Deaf => "deaf",
-            Self::Calls => "calls",
-        }
-    }
-}
+pub use crate::script::Way;
 
 /// A flood.
 #[derive(Clone, Copy, Debug, clap::Args)]
--- a/crates/fawnrouter-lab/src/script.rs
+++ b/crates/fawnrouter-lab/src/script.rs
@@ -1,8 +1,6 @@
 //! The script of a day: who calls what, which switches there are, and what goes wrong when.
 
 use fawnrouter_config::{Admission, BudgetPlan, Class, ConfigError, Document, Fault, Limits, Rules};
-
-use crate::flood::Way;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -141,6 +139,33 @@
     }
 }
 
+/// What strangers do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, clap::ValueEnum)]
+#[serde(rename_all = "lowercase")]
+pub enum Way {
+    /// They connect, upgrade and do nothing.
+    Idle,
+    /// They send their request one byte a second.
+    Slow,
+    /// They upgrade, ask and never read.
+    Deaf,
+    /// They call.
+    Calls,
+}
+
+impl Way {
+    /// Its name in reports.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Slow => "slow",
+            Self::Deaf => "deaf",
+            Self::Calls => "calls",
+        }
+    }
+}
+
 /// What goes wrong, and when: `at_ms` from the first call on, for `for_ms`, at the `switches` with these numbers.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[allow(missing_docs)]
--- a/crates/fawnrouterd/src/control.rs
+++ b/crates/fawnrouterd/src/control.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::IpAddr;
-use std::os::unix::fs::PermissionsExt;
+use std::os::unix::fs::{FileTypeExt as _, PermissionsExt as _};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +16,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::Core;
-use crate::serve::RunError;
 
 /// Operators that are served at once; others wait in the kernel.
 pub const MOST_OPERATORS: usize = 4;
@@ -142,20 +141,19 @@
 }
 
 /// Makes the socket, for its own user only. One that is left over from a gateway that is gone is replaced.
-pub fn listen(path: &Path) -> Result<Async<UnixListener>, RunError> {
-    let make = || {
-        if UnixStream::connect(path).is_ok() {
-            return Err(io::Error::other("another gateway listens there"));
-        }
-        use std::os::unix::fs::FileTypeExt as _;
-        if std::fs::symlink_metadata(path).is_ok_and(|m| m.file_type().is_socket()) {
-            std::fs::remove_file(path)?;
-        }
-        let listener = UnixListener::bind(path)?;
-        std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
-        Async::new(listener)
-    };
-    make().map_err(|error| RunError::Control { path: PathBuf::from(path), error })
+///
+/// # Errors
+/// Where another gateway listens there, or the system does not let this one listen.
+pub fn listen(path: &Path) -> io::Result<Async<UnixListener>> {
+    if UnixStream::connect(path).is_ok() {
+        return Err(io::Error::other("another gateway listens there"));
+    }
+    if std::fs::symlink_metadata(path).is_ok_and(|m| m.file_type().is_socket()) {
+        std::fs::remove_file(path)?;
+    }
+    let listener = UnixListener::bind(path)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+    Async::new(listener)
 }
 
 /// Serves operators for ever.
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixListener;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -109,7 +110,7 @@
     let retry_after = Duration::from_millis(limits.retry_after_ms);
     let door = Door::new(admission, descriptors, limits.connections, retry_after);
     let operators =
-        settings.control.as_ref().map(|c| control::listen(&folder.join(&c.socket))).transpose()?;
+        settings.control.as_ref().map(|c| listen_for_operators(folder.join(&c.socket))).transpose()?;
     let file = folder.join(&settings.switches.file);
     let clients = settings.clients.as_ref().map(|c| folder.join(&c.file));
     let account = settings.zones.as_ref().map(|z| folder.join(&z.account));
@@ -184,6 +185,11 @@
     Ok(async_io::block_on(executor.run(all)))
 }
 
+/// Makes the socket for operators.
+fn listen_for_operators(path: PathBuf) -> Result<Async<UnixListener>, RunError> {
+    control::listen(&path).map_err(|error| RunError::Control { path, error })
+}
+
 async fn house(core: Rc<Core>) {
     core.keep_house().await;
 }
