--- a/crates/fawnrouter-lab/src/flood.rs
+++ b/crates/fawnrouter-lab/src/flood.rs
@@ -17,8 +17,7 @@
 use serde::{Deserialize, Serialize};
 use socket2::{Domain, Socket, Type};
 
-use crate::script::Trouble;
-pub use crate::script::Way;
+use crate::script::{Trouble, Way};
 
 /// A flood.
 #[derive(Clone, Copy, Debug, clap::Args)]
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -1,6 +1,5 @@
 //! The gateway from start to end.
 
-use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixListener;
 use std::path::PathBuf;
@@ -20,48 +19,14 @@
 
 use crate::core::Core;
 use crate::door::Door;
+use crate::run_error::RunError;
 use crate::{accept, control, ledger, list, trunk};
 
-/// Why the gateway cannot run.
-#[derive(Debug, thiserror::Error)]
-pub enum RunError {
-    /// The address cannot be listened on.
-    #[error("cannot listen on {address}: {error}; free the port or change listen.address")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// Why.
-        error: io::Error,
-    },
-    /// Signals cannot be caught.
-    #[error("cannot catch signals: {0}")]
-    Signals(io::Error),
-    /// The limit of descriptors is too low.
-    #[error(transparent)]
-    Descriptors(#[from] TooFew),
-    /// The system has no random bytes.
-    #[error("the system gives no random bytes: {0}")]
-    Random(String),
-    /// The socket for operators cannot be made.
-    #[error("{path}: cannot listen for operators: {error}; remove the file or change control.socket")]
-    Control {
-        /// Where.
-        path: PathBuf,
-        /// Why.
-        error: io::Error,
-    },
-    /// The admission of connections refuses the settings.
-    #[error("admission: {0}")]
-    Admission(#[from] fawnrouter_admission::SettingsError),
-    /// The decisions refuse the settings.
-    #[error(transparent)]
-    Settings(#[from] EngineError),
-}
-
 /// Last bytes get this long to be written at the end.
 const LAST_WORDS: Duration = Duration::from_millis(500);
 /// Between two lines of counts in the log.
 const COUNTS: Duration = Duration::from_secs(60);
+
 /// Runs a gateway until a signal; `folder` is where relative paths count from, `ready` is told where clients connect.
 /// `true` if it drained, `false` if it was cut short.
 ///
