--- a/crates/fawnrouterd/src/accept.rs
+++ b/crates/fawnrouterd/src/accept.rs
@@ -1,4 +1,4 @@
-//! Takes connections from the kernel. Who gets in is decided behind [`crate::door`].
+//! Takes connections from the kernel. Who gets in is decided in [`crate::connection_admission`].
 
 use std::fs::File;
 use std::io::{self, Read, Write};
@@ -10,8 +10,8 @@
 use rustix::io::Errno;
 
 use crate::client;
+use crate::connection_admission::Entry;
 use crate::core::Core;
-use crate::door::Entry;
 
 /// A descriptor that is kept to be able to refuse politely when there is no other.
 enum Spare {
@@ -49,10 +49,10 @@
                     spare = Spare::take();
                 }
                 let entry = {
-                    let mut door = core.door.borrow_mut();
-                    door.accepted(now);
+                    let mut connection_admission = core.connection_admission.borrow_mut();
+                    connection_admission.accepted(now);
                     let outbox = || core.outbox(fawnrouter_admission::For::Client);
-                    door.arrive(now, &mut core.peers.borrow_mut(), peer.ip(), outbox)
+                    connection_admission.arrive(now, &mut core.peers.borrow_mut(), peer.ip(), outbox)
                 };
                 match entry {
                     Entry::In(conn, outbox) => {
@@ -65,8 +65,10 @@
                 }
             }
             Err(error) if exhausted(&error) => {
-                let step =
-                    core.door.borrow_mut().exhausted(core.clock().now(), !matches!(spare, Spare::Lost));
+                let step = core
+                    .connection_admission
+                    .borrow_mut()
+                    .exhausted(core.clock().now(), !matches!(spare, Spare::Lost));
                 match step {
                     Step::UseSpare => spare = refuse_one(&core, spare, listener.get_ref()),
                     Step::Pause(pause) => {
@@ -95,7 +97,7 @@
     }
     match listener.accept() {
         Ok((mut stream, _)) => {
-            let (reason, wait) = core.door.borrow_mut().refuse_with_spare(core.clock().now());
+            let (reason, wait) = core.connection_admission.borrow_mut().refuse_with_spare(core.clock().now());
             // The answer fits into the socket's own buffer, so that this does not block.
             let _ = stream.set_nonblocking(true);
             let _ = stream.write_all(&client::refusal(reason, wait));
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -16,8 +16,8 @@
 };
 use futures_lite::{AsyncWriteExt, future};
 
+use crate::connection_admission::Refusal;
 use crate::core::Core;
-use crate::door::Refusal;
 use crate::outbox::Outbox;
 use crate::share::Share;
 
@@ -74,7 +74,7 @@
 ) {
     serve(&core, conn, &outbox, stream, peer, &terms).await;
     core.peers.borrow_mut().gone(conn);
-    core.door.borrow_mut().gone(core.clock().now(), conn);
+    core.connection_admission.borrow_mut().gone(core.clock().now(), conn);
 }
 
 /// The answer to a connection that does not get in.
@@ -96,7 +96,7 @@
         Timer::after(LAST_WORDS).await;
     });
     future::or(told, outbox.killed()).await;
-    core.door.borrow_mut().refused(&outbox);
+    core.connection_admission.borrow_mut().refused(&outbox);
 }
 
 /// Writes the last answer and reads what still comes, so that the answer is not lost to a reset. Ends when the peer
@@ -163,7 +163,7 @@
         while goes_on {
             // One client's stream of messages must not keep the others waiting.
             future::yield_now().await;
-            let turn = core.door.borrow().turn(conn);
+            let turn = core.connection_admission.borrow().turn(conn);
             let read = read_at_most(core, &stream, turn, |bytes| session.take_all(&mut decoder, bytes));
             match read.await {
                 Ok(Some(more)) => goes_on = more,
@@ -171,7 +171,7 @@
             }
             heard.set(Instant::now());
             let messages = std::mem::take(&mut session.messages);
-            let pause = core.door.borrow_mut().pace(core.clock().now(), conn, messages);
+            let pause = core.connection_admission.borrow_mut().pace(core.clock().now(), conn, messages);
             if !pause.is_zero() {
                 Timer::after(pause).await;
                 heard.set(Instant::now());
@@ -234,14 +234,17 @@
     let refused = |(reason, wait): Refusal| refusal(reason, wait);
     let now = core.clock().now();
     let mut origin = peer.ip();
-    if core.door.borrow().is_forwarder(origin) {
+    if core.connection_admission.borrow().is_forwarder(origin) {
         let hops = forwarded_for(accepted.forwarded.iter().map(String::as_str));
         let hops = hops.map_err(|error| refuse(400, &error.to_string(), None))?;
-        let believed = core.door.borrow_mut().forwarded(now, conn, &hops).map_err(refused)?;
+        let believed = core.connection_admission.borrow_mut().forwarded(now, conn, &hops).map_err(refused)?;
         origin = believed.unwrap_or(origin);
     }
-    let must_prove =
-        core.door.borrow_mut().shaken(now, &mut core.peers.borrow_mut(), conn).map_err(refused)?;
+    let must_prove = core
+        .connection_admission
+        .borrow_mut()
+        .shaken(now, &mut core.peers.borrow_mut(), conn)
+        .map_err(refused)?;
     let mut stream = stream;
     if stream.write_all(&accepted.response).await.is_err() {
         return Ok(None);
--- a/crates/fawnrouterd/src/door.rs
+++ b/crates/fawnrouterd/src/connection_admission.rs
@@ -51,7 +51,7 @@
 pub type Refusal = (Reason, Duration);
 
 /// The decisions and what they go by.
-pub struct Door {
+pub struct ConnectionAdmission {
     pub admission: Option<Admission>,
     pub descriptors: Descriptors,
     /// Those that are being told that they do not get in, the first one first.
@@ -65,7 +65,7 @@
     told: BTreeMap<Cause, u64>,
 }
 
-impl Door {
+impl ConnectionAdmission {
     pub fn new(
         admission: Option<Admission>,
         descriptors: Descriptors,
@@ -309,7 +309,7 @@
     use fawnrouter_admission::DescriptorSettings;
     use futures_lite::future;
 
-    fn door(connections: usize, limit: usize) -> Door {
+    fn connection_admission(connections: usize, limit: usize) -> ConnectionAdmission {
         let text = format!(
             "gateway: {{ number: 0, count: 1, seed: 1 }}\nlisten: {{ address: '127.0.0.1:0' }}\n\
              switches: {{ file: s.yaml }}\nclasses: [{{ name: a, aim_ms: 1, deadline_ms: 2 }}]\n\
@@ -319,31 +319,36 @@
         let admission = settings.admission(1).map(|a| Admission::new(a).expect("sound settings"));
         let descriptors = DescriptorSettings { limit, in_use: 0, trunks: 0, files: 0, control: 0 };
         let descriptors = Descriptors::new(descriptors).expect("room");
-        Door::new(admission, descriptors, connections, Duration::from_secs(2))
+        ConnectionAdmission::new(admission, descriptors, connections, Duration::from_secs(2))
     }
 
-    fn arrive(door: &mut Door, peers: &mut Peers, n: u8) -> Entry {
-        door.arrive(Time(Duration::from_secs(1)), peers, IpAddr::from([127, 0, 0, n]), || Outbox::new(1000))
+    fn arrive(connection_admission: &mut ConnectionAdmission, peers: &mut Peers, n: u8) -> Entry {
+        connection_admission
+            .arrive(Time(Duration::from_secs(1)), peers, IpAddr::from([127, 0, 0, n]), || Outbox::new(1000))
     }
 
     #[test]
     fn a_connection_that_makes_room_while_its_upgrade_is_written_is_told_why() {
-        let (mut door, mut peers) = (door(1, 1000), Peers::default());
+        let (mut connection_admission, mut peers) = (connection_admission(1, 1000), Peers::default());
         let now = Time(Duration::from_secs(1));
-        let Entry::In(first, outbox) = arrive(&mut door, &mut peers, 1) else { panic!("room") };
-        assert_eq!(door.shaken(now, &mut peers, first).ok(), Some(false));
-        let Entry::In(second, other) = arrive(&mut door, &mut peers, 1) else { panic!("room") };
-        assert_eq!(door.shaken(now, &mut peers, second).ok(), Some(false));
+        let Entry::In(first, outbox) = arrive(&mut connection_admission, &mut peers, 1) else {
+            panic!("room")
+        };
+        assert_eq!(connection_admission.shaken(now, &mut peers, first).ok(), Some(false));
+        let Entry::In(second, other) = arrive(&mut connection_admission, &mut peers, 1) else {
+            panic!("room")
+        };
+        assert_eq!(connection_admission.shaken(now, &mut peers, second).ok(), Some(false));
         assert_eq!(future::block_on(outbox.ended()), Some(Eviction::MadeRoom.text()));
         assert!(other.is_open() && peers.open() == 1);
     }
 
     #[test]
     fn beyond_the_descriptors_newcomers_are_refused_and_the_first_refused_is_let_go() {
-        let (mut door, mut peers) = (door(1000, 40), Peers::default());
+        let (mut connection_admission, mut peers) = (connection_admission(1000, 40), Peers::default());
         let mut refused = Vec::new();
         for n in 0..40 {
-            if let Entry::Out(reason, wait, outbox) = arrive(&mut door, &mut peers, n) {
+            if let Entry::Out(reason, wait, outbox) = arrive(&mut connection_admission, &mut peers, n) {
                 assert!(reason == Reason::Descriptors && wait >= Duration::from_secs(2));
                 refused.push(outbox);
             }
@@ -351,6 +356,6 @@
         // 40 less the spare, two to refuse with and eight for what was forgotten.
         assert_eq!((peers.open(), refused.len()), (29, 11));
         assert!(refused[..9].iter().all(|o| !o.is_open()) && refused[9..].iter().all(|o| o.is_open()));
-        assert_eq!(door.snapshot(0).refused[&Reason::Descriptors], 11);
+        assert_eq!(connection_admission.snapshot(0).refused[&Reason::Descriptors], 11);
     }
 }
--- a/crates/fawnrouterd/src/control.rs
+++ b/crates/fawnrouterd/src/control.rs
@@ -210,8 +210,8 @@
             None => Reply::Failed("zones are off; add a section `zones` to the settings".into()),
         };
     }
-    let mut door = core.door.borrow_mut();
-    let Some(admission) = &mut door.admission else {
+    let mut connection_admission = core.connection_admission.borrow_mut();
+    let Some(admission) = &mut connection_admission.admission else {
         return Reply::Failed("admission is off; add a section `admission` to the settings".into());
     };
     match command {
@@ -257,18 +257,18 @@
 }
 
 fn show(core: &Core) -> Shown {
-    let (door, ledger) = (core.door.borrow(), core.ledger.borrow());
+    let (connection_admission, ledger) = (core.connection_admission.borrow(), core.ledger.borrow());
     let Snapshot { open, handshakes, known, reserve, refused, evicted, addresses, clients, blocked } =
-        door.snapshot(MOST_LISTED);
+        connection_admission.snapshot(MOST_LISTED);
     let holder = |h: fawnrouter_admission::Holding| Holder { who: h.who, count: h.open };
     let mut shown = Shown {
-        admission: door.admission.is_some(),
+        admission: connection_admission.admission.is_some(),
         open: open.max(core.peers.borrow().open()),
         handshakes,
         known,
         reserve,
-        room: door.descriptors.clients(),
-        famine: door.descriptors.in_famine(),
+        room: connection_admission.descriptors.clients(),
+        famine: connection_admission.descriptors.in_famine(),
         buffered_bytes: ledger.used(),
         over_budget: ledger.refused(),
         refused: refused.into_iter().map(|(r, n)| (r.text().to_owned(), n)).collect(),
--- a/crates/fawnrouterd/src/core.rs
+++ b/crates/fawnrouterd/src/core.rs
@@ -15,7 +15,7 @@
 use fawnrouter_ws::{CloseCode, Opcode, encode};
 
 use crate::clock::Clock;
-use crate::door::Door;
+use crate::connection_admission::ConnectionAdmission;
 use crate::flag::Flag;
 use crate::log::Spans;
 use crate::outbox::Outbox;
@@ -31,7 +31,7 @@
     pump: Pump<Engine>,
     spans: RefCell<Spans>,
     pub peers: RefCell<Peers>,
-    pub door: RefCell<Door>,
+    pub connection_admission: RefCell<ConnectionAdmission>,
     /// Bytes that wait.
     pub ledger: Ledger,
     /// Where reads go first: one buffer for all connections, as nothing awaits while it holds something.
@@ -46,7 +46,7 @@
     pub fn new(
         settings: Settings,
         engine: Engine,
-        door: Door,
+        connection_admission: ConnectionAdmission,
         open_trunk: Opener,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
@@ -61,7 +61,7 @@
             pump: Pump::new(engine),
             spans: RefCell::default(),
             peers: RefCell::default(),
-            door: RefCell::new(door),
+            connection_admission: RefCell::new(connection_admission),
             ledger: ledger(bytes),
             scratch: RefCell::new(vec![0; 64 * 1024]),
             settings,
@@ -93,13 +93,14 @@
     /// Gives the engine an input and carries out what it says.
     pub fn input(self: &Rc<Self>, input: Input) {
         let mut opened = Vec::new();
-        let (mut peers, mut door) = (self.peers.borrow_mut(), self.door.borrow_mut());
-        let (peers_now, door_now) = (&mut *peers, &mut *door);
+        let (mut peers, mut connection_admission) =
+            (self.peers.borrow_mut(), self.connection_admission.borrow_mut());
+        let (peers_now, admission_now) = (&mut *peers, &mut *connection_admission);
         self.pump.input(input, |now, engine, output| match output {
             Output::ToClient { client, bytes } => {
                 if let Some((conn, outbox)) = peers_now.client(client) {
                     // A message to a client means that one of its calls has changed.
-                    door_now.active(now, conn, engine.calls_of(client));
+                    admission_now.active(now, conn, engine.calls_of(client));
                     outbox.push(|out| encode(Opcode::Text, &bytes, None, out));
                 }
             }
@@ -122,7 +123,7 @@
                 let Some((conn, outbox)) = peers_now.client(client) else { return };
                 let outbox = outbox.clone();
                 tracing::debug!(client = client.0, name = &*name, "client known");
-                if let Err(reason) = door_now.known(now, peers_now, conn, &name) {
+                if let Err(reason) = admission_now.known(now, peers_now, conn, &name) {
                     goodbye(&outbox, CloseCode::LATER, reason.text());
                 }
             }
@@ -138,7 +139,7 @@
                 self.drained.raise();
             }
         });
-        drop((peers, door));
+        drop((peers, connection_admission));
         for (server, address, outbox) in opened {
             (self.open_trunk)(self.clone(), server, address, outbox);
         }
@@ -169,13 +170,13 @@
         loop {
             Timer::after(HOUSE).await;
             let now = self.clock().now();
-            let mut door = self.door.borrow_mut();
-            door.sweep(now, &mut self.peers.borrow_mut());
+            let mut connection_admission = self.connection_admission.borrow_mut();
+            connection_admission.sweep(now, &mut self.peers.borrow_mut());
             self.with_engine(|engine| {
                 if let Some(set_ups) = engine.set_ups() {
-                    door.tell(now, set_ups.refused());
+                    connection_admission.tell(now, set_ups.refused());
                 } else {
-                    door.tell(now, &Default::default());
+                    connection_admission.tell(now, &Default::default());
                 }
             });
         }
--- a/crates/fawnrouterd/src/list.rs
+++ b/crates/fawnrouterd/src/list.rs
@@ -74,7 +74,7 @@
 /// The list of known clients, with their limits.
 pub async fn clients(core: Rc<Core>, path: PathBuf) {
     let take = |core: &Rc<Core>, clients: Vec<ClientLine>| {
-        if let Some(admission) = &mut core.door.borrow_mut().admission {
+        if let Some(admission) = &mut core.connection_admission.borrow_mut().admission {
             admission.set_client_limits(core.settings.client_connections(&clients));
         }
         core.input(Input::Clients(core.settings.known_clients(&clients)));
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -17,8 +17,8 @@
 
 use rustix::process::Resource;
 
+use crate::connection_admission::ConnectionAdmission;
 use crate::core::Core;
-use crate::door::Door;
 use crate::run_error::RunError;
 use crate::{accept, control, ledger, list, trunk};
 
@@ -73,7 +73,8 @@
         );
     }
     let retry_after = Duration::from_millis(limits.retry_after_ms);
-    let door = Door::new(admission, descriptors, limits.connections, retry_after);
+    let connection_admission =
+        ConnectionAdmission::new(admission, descriptors, limits.connections, retry_after);
     let operators =
         settings.control.as_ref().map(|c| listen_for_operators(folder.join(&c.socket))).transpose()?;
     let file = folder.join(&settings.switches.file);
@@ -81,7 +82,7 @@
     let account = settings.zones.as_ref().map(|z| folder.join(&z.account));
     let path = settings.listen.path.clone();
     let executor = Rc::new(LocalExecutor::new());
-    let core = Core::new(settings, engine, door, trunk::open, &executor);
+    let core = Core::new(settings, engine, connection_admission, trunk::open, &executor);
     let all = async {
         // One line a driver.
         let mut tasks = vec![
