Rename: the daemon's peers are connections

Need: a peer is the other side, this is the table of connections; the limit of the same name is connection_limit.

--- a/crates/fawnrouterd/src/accept.rs
+++ b/crates/fawnrouterd/src/accept.rs
@@ -52,7 +52,7 @@
                     let mut connection_admission = core.connection_admission.borrow_mut();
                     connection_admission.accepted(now);
                     let outbox = || core.outbox(fawnrouter_admission::For::Client);
-                    connection_admission.arrive(now, &mut core.peers.borrow_mut(), peer.ip(), outbox)
+                    connection_admission.arrive(now, &mut core.connections.borrow_mut(), peer.ip(), outbox)
                 };
                 match entry {
                     Entry::In(conn, outbox) => {
--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -73,7 +73,7 @@
     terms: Rc<Terms>,
 ) {
     serve(&core, conn, &outbox, stream, peer, &terms).await;
-    core.peers.borrow_mut().gone(conn);
+    core.connections.borrow_mut().gone(conn);
     core.connection_admission.borrow_mut().gone(core.clock().now(), conn);
 }
 
@@ -149,7 +149,7 @@
         })
         .await;
     }
-    let client = core.peers.borrow_mut().shaken(conn, outbox.clone());
+    let client = core.connections.borrow_mut().shaken(conn, outbox.clone());
     core.input(Input::ClientUp { client, peer, origin, must_prove });
     tracing::debug!(client = client.0, %peer, "client connected");
     let heard = Cell::new(Instant::now());
@@ -183,7 +183,7 @@
     };
     let watching = future::or(outbox.killed(), keep_alive(core, outbox, &heard));
     future::or(future::or(reading, writing), watching).await;
-    core.peers.borrow_mut().remove_client(client);
+    core.connections.borrow_mut().remove_client(client);
     core.input(Input::ClientDown { client });
     outbox.finish();
     let last = async {
@@ -243,7 +243,7 @@
     let must_prove = core
         .connection_admission
         .borrow_mut()
-        .shaken(now, &mut core.peers.borrow_mut(), conn)
+        .shaken(now, &mut core.connections.borrow_mut(), conn)
         .map_err(refused)?;
     let mut stream = stream;
     if stream.write_all(&accepted.response).await.is_err() {
--- a/crates/fawnrouterd/src/connection_admission.rs
+++ b/crates/fawnrouterd/src/connection_admission.rs
@@ -13,8 +13,8 @@
 use fawnrouter_engine::fawnrouter::Time;
 use fawnrouter_ws::CloseCode;
 
+use crate::connections::Connections;
 use crate::outbox::Outbox;
-use crate::peers::Peers;
 
 /// What lasts and is told in the log when it begins and ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -57,7 +57,7 @@
     /// Those that are being told that they do not get in, the first one first.
     refusing: VecDeque<Rc<Outbox>>,
     /// Without admission: connections in all, and the time to stay away.
-    connections: usize,
+    connection_limit: usize,
     retry_after: Duration,
     spread: Spread,
     refused: BTreeMap<Reason, u64>,
@@ -69,12 +69,12 @@
     pub fn new(
         admission: Option<Admission>,
         descriptors: Descriptors,
-        connections: usize,
+        connection_limit: usize,
         retry_after: Duration,
     ) -> Self {
         Self {
             admission,
-            connections: descriptors.divide(connections, connections / 4 + 16).0,
+            connection_limit: descriptors.divide(connection_limit, connection_limit / 4 + 16).0,
             descriptors,
             refusing: VecDeque::new(),
             retry_after,
@@ -101,21 +101,21 @@
     pub fn arrive(
         &mut self,
         now: Time,
-        peers: &mut Peers,
+        connections: &mut Connections,
         address: IpAddr,
         outbox: impl FnOnce() -> Outbox,
     ) -> Entry {
         let outbox = Rc::new(outbox());
-        let place = self.descriptors.arrive(peers.open(), self.refusing.len());
+        let place = self.descriptors.arrive(connections.open(), self.refusing.len());
         let verdict = if place != Place::Serve {
             Err(self.refuse(now, Reason::Descriptors))
         } else {
-            let conn = peers.number();
+            let conn = connections.number();
             let verdict = self.admission.as_mut().map(|a| a.arrive(now.0, Arrival { conn, address }));
             match verdict {
                 Some(Verdict::Refuse { reason, retry_after }) => Err((reason, retry_after)),
                 Some(Verdict::Replace(victim)) => {
-                    peers.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
+                    connections.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
                     Ok(conn)
                 }
                 _ => Ok(conn),
@@ -123,7 +123,7 @@
         };
         match verdict {
             Ok(conn) => {
-                peers.arrived(conn, outbox.clone());
+                connections.arrived(conn, outbox.clone());
                 Entry::In(conn, outbox)
             }
             Err((reason, wait)) => {
@@ -164,13 +164,13 @@
     }
 
     /// A handshake is done: whether the connection stays, and if so, whether it has to show who it is.
-    pub fn shaken(&mut self, now: Time, peers: &mut Peers, conn: Conn) -> Result<bool, Refusal> {
-        let full = peers.clients() >= self.connections;
+    pub fn shaken(&mut self, now: Time, connections: &mut Connections, conn: Conn) -> Result<bool, Refusal> {
+        let full = connections.clients() >= self.connection_limit;
         match self.admission.as_mut().map(|a| a.shaken(now.0, conn)) {
             Some(Verdict::Refuse { reason, retry_after }) => Err((reason, retry_after)),
             Some(Verdict::Probation) => Ok(true),
             Some(Verdict::Replace(victim)) => {
-                peers.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
+                connections.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
                 Ok(false)
             }
             Some(Verdict::Accept) => Ok(false),
@@ -184,14 +184,14 @@
     pub fn known(
         &mut self,
         now: Time,
-        peers: &mut Peers,
+        connections: &mut Connections,
         conn: Conn,
         client: &Arc<str>,
     ) -> Result<(), Reason> {
         match self.admission.as_mut().map(|a| a.known(now.0, conn, client)) {
             Some(Verdict::Refuse { reason, .. }) => Err(reason),
             Some(Verdict::Replace(victim)) => {
-                peers.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
+                connections.close(victim, CloseCode::LATER, Eviction::MadeRoom.text());
                 Ok(())
             }
             _ => Ok(()),
@@ -246,21 +246,21 @@
     }
 
     /// Closes those that are idle, do not read, or have not shown who they are.
-    pub fn sweep(&mut self, now: Time, peers: &mut Peers) {
+    pub fn sweep(&mut self, now: Time, connections: &mut Connections) {
         let Some(admission) = &mut self.admission else { return };
-        for (conn, peer) in peers.conns() {
-            if peer.client.is_some() {
-                admission.reads(now.0, conn, peer.outbox.backlog(), peer.outbox.taken());
+        for (conn, connection) in connections.iter() {
+            if connection.client.is_some() {
+                admission.reads(now.0, conn, connection.outbox.backlog(), connection.outbox.taken());
             }
         }
         for (conn, why) in admission.sweep(now.0) {
             // One that does not read takes no goodbye either.
             if why == Eviction::Slow
-                && let Some((_, peer)) = peers.conns().find(|(c, _)| *c == conn)
+                && let Some((_, connection)) = connections.iter().find(|(c, _)| *c == conn)
             {
-                peer.outbox.kill();
+                connection.outbox.kill();
             }
-            peers.close(conn, CloseCode::LATER, why.text());
+            connections.close(conn, CloseCode::LATER, why.text());
         }
     }
 
@@ -309,52 +309,58 @@
     use fawnrouter_admission::DescriptorSettings;
     use futures_lite::future;
 
-    fn connection_admission(connections: usize, limit: usize) -> ConnectionAdmission {
+    fn connection_admission(connection_limit: usize, limit: usize) -> ConnectionAdmission {
         let text = format!(
             "gateway: {{ number: 0, count: 1, seed: 1 }}\nlisten: {{ address: '127.0.0.1:0' }}\n\
              switches: {{ file: s.yaml }}\nclasses: [{{ name: a, aim_ms: 1, deadline_ms: 2 }}]\n\
-             limits: {{ connections: {connections} }}\nadmission: {{}}\n"
+             limits: {{ connections: {connection_limit} }}\nadmission: {{}}\n"
         );
         let settings = fawnrouter_config::parse("t.yaml", &text).expect("sound settings");
         let admission = settings.admission(1).map(|a| Admission::new(a).expect("sound settings"));
         let descriptors = DescriptorSettings { limit, in_use: 0, trunks: 0, files: 0, control: 0 };
         let descriptors = Descriptors::new(descriptors).expect("room");
-        ConnectionAdmission::new(admission, descriptors, connections, Duration::from_secs(2))
+        ConnectionAdmission::new(admission, descriptors, connection_limit, Duration::from_secs(2))
     }
 
-    fn arrive(connection_admission: &mut ConnectionAdmission, peers: &mut Peers, n: u8) -> Entry {
-        connection_admission
-            .arrive(Time(Duration::from_secs(1)), peers, IpAddr::from([127, 0, 0, n]), || Outbox::new(1000))
+    fn arrive(connection_admission: &mut ConnectionAdmission, connections: &mut Connections, n: u8) -> Entry {
+        connection_admission.arrive(
+            Time(Duration::from_secs(1)),
+            connections,
+            IpAddr::from([127, 0, 0, n]),
+            || Outbox::new(1000),
+        )
     }
 
     #[test]
     fn a_connection_that_makes_room_while_its_upgrade_is_written_is_told_why() {
-        let (mut connection_admission, mut peers) = (connection_admission(1, 1000), Peers::default());
+        let (mut connection_admission, mut connections) =
+            (connection_admission(1, 1000), Connections::default());
         let now = Time(Duration::from_secs(1));
-        let Entry::In(first, outbox) = arrive(&mut connection_admission, &mut peers, 1) else {
+        let Entry::In(first, outbox) = arrive(&mut connection_admission, &mut connections, 1) else {
             panic!("room")
         };
-        assert_eq!(connection_admission.shaken(now, &mut peers, first).ok(), Some(false));
-        let Entry::In(second, other) = arrive(&mut connection_admission, &mut peers, 1) else {
+        assert_eq!(connection_admission.shaken(now, &mut connections, first).ok(), Some(false));
+        let Entry::In(second, other) = arrive(&mut connection_admission, &mut connections, 1) else {
             panic!("room")
         };
-        assert_eq!(connection_admission.shaken(now, &mut peers, second).ok(), Some(false));
+        assert_eq!(connection_admission.shaken(now, &mut connections, second).ok(), Some(false));
         assert_eq!(future::block_on(outbox.ended()), Some(Eviction::MadeRoom.text()));
-        assert!(other.is_open() && peers.open() == 1);
+        assert!(other.is_open() && connections.open() == 1);
     }
 
     #[test]
     fn beyond_the_descriptors_newcomers_are_refused_and_the_first_refused_is_let_go() {
-        let (mut connection_admission, mut peers) = (connection_admission(1000, 40), Peers::default());
+        let (mut connection_admission, mut connections) =
+            (connection_admission(1000, 40), Connections::default());
         let mut refused = Vec::new();
         for n in 0..40 {
-            if let Entry::Out(reason, wait, outbox) = arrive(&mut connection_admission, &mut peers, n) {
+            if let Entry::Out(reason, wait, outbox) = arrive(&mut connection_admission, &mut connections, n) {
                 assert!(reason == Reason::Descriptors && wait >= Duration::from_secs(2));
                 refused.push(outbox);
             }
         }
         // 40 less the spare, two to refuse with and eight for what was forgotten.
-        assert_eq!((peers.open(), refused.len()), (29, 11));
+        assert_eq!((connections.open(), refused.len()), (29, 11));
         assert!(refused[..9].iter().all(|o| !o.is_open()) && refused[9..].iter().all(|o| o.is_open()));
         assert_eq!(connection_admission.snapshot(0).refused[&Reason::Descriptors], 11);
     }
--- a/crates/fawnrouterd/src/peers.rs
+++ b/crates/fawnrouterd/src/connections.rs
@@ -11,7 +11,7 @@
 use crate::outbox::Outbox;
 
 /// A client's connection from its arrival on.
-pub struct Peer {
+pub struct ClientConnection {
     pub outbox: Rc<Outbox>,
     /// Its client, from the end of the handshake on.
     pub client: Option<ClientId>,
@@ -19,15 +19,18 @@
 
 /// All connections.
 #[derive(Default)]
-pub struct Peers {
-    conns: BTreeMap<Conn, Peer>,
+pub struct Connections {
+    /// Clients' connections from their arrival on.
+    accepted: BTreeMap<Conn, ClientConnection>,
+    /// Of these, those whose handshake is done.
     clients: BTreeMap<ClientId, (Conn, Rc<Outbox>)>,
+    /// Connections to switches.
     trunks: BTreeMap<ServerId, Rc<Outbox>>,
     next_conn: u64,
     next_client: u64,
 }
 
-impl Peers {
+impl Connections {
     /// A number for a connection, never used again.
     pub fn number(&mut self) -> Conn {
         self.next_conn += 1;
@@ -35,27 +38,27 @@
     }
 
     pub fn arrived(&mut self, conn: Conn, outbox: Rc<Outbox>) {
-        self.conns.insert(conn, Peer { outbox, client: None });
+        self.accepted.insert(conn, ClientConnection { outbox, client: None });
     }
 
     /// Its handshake is done. A connection that had to make room meanwhile was told so already.
     pub fn shaken(&mut self, conn: Conn, outbox: Rc<Outbox>) -> ClientId {
         self.next_client += 1;
         let id = ClientId(self.next_client);
-        if let Some(peer) = self.conns.get_mut(&conn) {
-            peer.client = Some(id);
+        if let Some(connection) = self.accepted.get_mut(&conn) {
+            connection.client = Some(id);
         }
         self.clients.insert(id, (conn, outbox));
         id
     }
 
     pub fn gone(&mut self, conn: Conn) {
-        self.conns.remove(&conn);
+        self.accepted.remove(&conn);
     }
 
     /// Clients' connections, handshakes included.
     pub fn open(&self) -> usize {
-        self.conns.len()
+        self.accepted.len()
     }
 
     /// Clients' connections whose handshake is done.
@@ -63,8 +66,8 @@
         self.clients.len()
     }
 
-    pub fn conns(&self) -> impl Iterator<Item = (Conn, &Peer)> {
-        self.conns.iter().map(|(conn, peer)| (*conn, peer))
+    pub fn iter(&self) -> impl Iterator<Item = (Conn, &ClientConnection)> {
+        self.accepted.iter().map(|(conn, connection)| (*conn, connection))
     }
 
     pub fn client(&self, client: ClientId) -> Option<(Conn, &Rc<Outbox>)> {
@@ -94,11 +97,11 @@
 
     /// Closes a connection at whatever stage; it is told why.
     pub fn close(&mut self, conn: Conn, code: CloseCode, reason: &'static str) {
-        let Some(peer) = self.conns.remove(&conn) else { return };
-        match peer.client {
-            Some(_) => goodbye(&peer.outbox, code, reason),
+        let Some(connection) = self.accepted.remove(&conn) else { return };
+        match connection.client {
+            Some(_) => goodbye(&connection.outbox, code, reason),
             // Still in its handshake, which tells it by HTTP.
-            None => peer.outbox.finish_for(reason),
+            None => connection.outbox.finish_for(reason),
         }
     }
 
@@ -107,15 +110,15 @@
         for (_, outbox) in self.clients.values() {
             goodbye(outbox, code, reason);
         }
-        for peer in self.conns.values().filter(|p| p.client.is_none()) {
-            peer.outbox.finish_for(reason);
+        for connection in self.accepted.values().filter(|c| c.client.is_none()) {
+            connection.outbox.finish_for(reason);
         }
     }
 
     /// Whether something waits to be written, or a handshake to be told that it comes to nothing.
     pub fn busy(&self) -> bool {
         let mut outboxes = self.clients.values().map(|(_, o)| o).chain(self.trunks.values());
-        outboxes.any(|o| o.backlog() > 0) || self.conns.values().any(|p| p.client.is_none())
+        outboxes.any(|o| o.backlog() > 0) || self.accepted.values().any(|c| c.client.is_none())
     }
 }
 
--- a/crates/fawnrouterd/src/control.rs
+++ b/crates/fawnrouterd/src/control.rs
@@ -263,7 +263,7 @@
     let holder = |h: fawnrouter_admission::Holding| Holder { who: h.who, count: h.open };
     let mut shown = Shown {
         admission: connection_admission.admission.is_some(),
-        open: open.max(core.peers.borrow().open()),
+        open: open.max(core.connections.borrow().open()),
         handshakes,
         known,
         reserve,
--- a/crates/fawnrouterd/src/core.rs
+++ b/crates/fawnrouterd/src/core.rs
@@ -16,10 +16,10 @@
 
 use crate::clock::Clock;
 use crate::connection_admission::ConnectionAdmission;
+use crate::connections::{Connections, goodbye};
 use crate::flag::Flag;
 use crate::log::Spans;
 use crate::outbox::Outbox;
-use crate::peers::{Peers, goodbye};
 use crate::pump::Pump;
 use crate::share::{Ledger, Share, ledger};
 
@@ -30,7 +30,7 @@
 pub struct Core {
     pump: Pump<Engine>,
     spans: RefCell<Spans>,
-    pub peers: RefCell<Peers>,
+    pub connections: RefCell<Connections>,
     pub connection_admission: RefCell<ConnectionAdmission>,
     /// Bytes that wait.
     pub ledger: Ledger,
@@ -60,7 +60,7 @@
         Rc::new(Self {
             pump: Pump::new(engine),
             spans: RefCell::default(),
-            peers: RefCell::default(),
+            connections: RefCell::default(),
             connection_admission: RefCell::new(connection_admission),
             ledger: ledger(bytes),
             scratch: RefCell::new(vec![0; 64 * 1024]),
@@ -93,42 +93,42 @@
     /// Gives the engine an input and carries out what it says.
     pub fn input(self: &Rc<Self>, input: Input) {
         let mut opened = Vec::new();
-        let (mut peers, mut connection_admission) =
-            (self.peers.borrow_mut(), self.connection_admission.borrow_mut());
-        let (peers_now, admission_now) = (&mut *peers, &mut *connection_admission);
+        let (mut connections, mut connection_admission) =
+            (self.connections.borrow_mut(), self.connection_admission.borrow_mut());
+        let (connections_now, admission_now) = (&mut *connections, &mut *connection_admission);
         self.pump.input(input, |now, engine, output| match output {
             Output::ToClient { client, bytes } => {
-                if let Some((conn, outbox)) = peers_now.client(client) {
+                if let Some((conn, outbox)) = connections_now.client(client) {
                     // A message to a client means that one of its calls has changed.
                     admission_now.active(now, conn, engine.calls_of(client));
                     outbox.push(|out| encode(Opcode::Text, &bytes, None, out));
                 }
             }
             Output::ToTrunk { server, bytes } => {
-                if let Some(outbox) = peers_now.trunk(server) {
+                if let Some(outbox) = connections_now.trunk(server) {
                     outbox.push(|out| out.extend_from_slice(&bytes));
                 }
             }
             Output::OpenTrunk { server, address } => {
                 let outbox = Rc::new(self.outbox(For::Trunk));
-                peers_now.insert_trunk(server, outbox.clone());
+                connections_now.insert_trunk(server, outbox.clone());
                 opened.push((server, address, outbox));
             }
             Output::CloseTrunk { server } => {
-                if let Some(outbox) = peers_now.remove_trunk(server) {
+                if let Some(outbox) = connections_now.remove_trunk(server) {
                     outbox.finish();
                 }
             }
             Output::Known { client, name } => {
-                let Some((conn, outbox)) = peers_now.client(client) else { return };
+                let Some((conn, outbox)) = connections_now.client(client) else { return };
                 let outbox = outbox.clone();
                 tracing::debug!(client = client.0, name = &*name, "client known");
-                if let Err(reason) = admission_now.known(now, peers_now, conn, &name) {
+                if let Err(reason) = admission_now.known(now, connections_now, conn, &name) {
                     goodbye(&outbox, CloseCode::LATER, reason.text());
                 }
             }
             Output::CloseClient { client, reason } => {
-                if let Some((_, outbox)) = peers_now.client(client) {
+                if let Some((_, outbox)) = connections_now.client(client) {
                     tracing::warn!(client = client.0, "connection closed: {reason}");
                     goodbye(outbox, CloseCode::POLICY, reason);
                 }
@@ -139,7 +139,7 @@
                 self.drained.raise();
             }
         });
-        drop((peers, connection_admission));
+        drop((connections, connection_admission));
         for (server, address, outbox) in opened {
             (self.open_trunk)(self.clone(), server, address, outbox);
         }
@@ -171,7 +171,7 @@
             Timer::after(HOUSE).await;
             let now = self.clock().now();
             let mut connection_admission = self.connection_admission.borrow_mut();
-            connection_admission.sweep(now, &mut self.peers.borrow_mut());
+            connection_admission.sweep(now, &mut self.connections.borrow_mut());
             self.with_engine(|engine| {
                 if let Some(set_ups) = engine.set_ups() {
                     connection_admission.tell(now, set_ups.refused());
@@ -184,7 +184,7 @@
 
     /// A line of counts for the log.
     pub fn log_counts(&self) {
-        let (peers, bytes) = (self.peers.borrow(), self.ledger.borrow());
+        let (connections, bytes) = (self.connections.borrow(), self.ledger.borrow());
         let (c, live) = self.with_engine(|engine| (engine.counters(), engine.live_calls()));
         tracing::info!(
             taken = c.taken,
@@ -197,7 +197,7 @@
             invalid = c.invalid,
             attempts = c.attempts,
             live,
-            connections = peers.clients(),
+            connections = connections.clients(),
             buffered_bytes = bytes.used(),
             "counts"
         );
--- a/crates/fawnrouterd/src/serve.rs
+++ b/crates/fawnrouterd/src/serve.rs
@@ -131,9 +131,9 @@
             },
         );
         let clean = clean.await;
-        core.peers.borrow().close_all(CloseCode::AWAY, "gateway ends");
+        core.connections.borrow().close_all(CloseCode::AWAY, "gateway ends");
         let flushed = async {
-            while core.peers.borrow().busy() {
+            while core.connections.borrow().busy() {
                 Timer::after(Duration::from_millis(5)).await;
             }
         };
--- a/crates/fawnrouterd/src/trunk.rs
+++ b/crates/fawnrouterd/src/trunk.rs
@@ -30,7 +30,7 @@
         None
     });
     if let Some(stream) = connected.await
-        && core.peers.borrow().is_current(server, &outbox)
+        && core.connections.borrow().is_current(server, &outbox)
     {
         let _ = stream.get_ref().set_nodelay(true);
         core.input(Input::TrunkUp { server });
@@ -40,8 +40,8 @@
         let reading = read(&core, server, &stream, &outbox);
         future::or(future::or(reading, writing), outbox.killed()).await;
     }
-    if core.peers.borrow().is_current(server, &outbox) {
-        core.peers.borrow_mut().remove_trunk(server);
+    if core.connections.borrow().is_current(server, &outbox) {
+        core.connections.borrow_mut().remove_trunk(server);
         core.input(Input::TrunkDown { server });
     }
 }
@@ -62,7 +62,7 @@
                 Ok(Some(Chunk::Ping)) => outbox.push(|out| out.extend_from_slice(b"\r\n")),
                 Ok(Some(Chunk::Message(message))) => {
                     // The list may have dropped this connection while its bytes were on the way.
-                    if core.peers.borrow().is_current(server, outbox) {
+                    if core.connections.borrow().is_current(server, outbox) {
                         core.input(Input::TrunkMessage { server, message });
                     }
                 }
