--- a/crates/fawnrouterd/src/client.rs
+++ b/crates/fawnrouterd/src/client.rs
@@ -156,7 +156,7 @@
     let reading = async {
         let limits = &core.settings.limits;
         let mut decoder = Decoder::new(Role::Server, limits.head_bytes + limits.body_bytes);
-        let held = Share::of(&core.ledger, For::Client);
+        let held = Share::of(&core.buffer_budget, For::Client);
         let mut session = Session { core, client, outbox, held: &held, bad_in_a_row: 0, messages: 0 };
         let mut goes_on = session.take_all(&mut decoder, &rest);
         drop(rest);
@@ -216,7 +216,7 @@
     terms: &Terms,
 ) -> Result<Option<Shaken>, Vec<u8>> {
     let mut bytes = Vec::new();
-    let held = Share::of(&core.ledger, For::Client);
+    let held = Share::of(&core.buffer_budget, For::Client);
     let accepted = loop {
         let more = read_some(core, stream, |b| bytes.extend_from_slice(b)).await;
         if !matches!(more, Ok(Some(()))) {
--- a/crates/fawnrouterd/src/control.rs
+++ b/crates/fawnrouterd/src/control.rs
@@ -257,7 +257,8 @@
 }
 
 fn show(core: &Core) -> Shown {
-    let (connection_admission, ledger) = (core.connection_admission.borrow(), core.ledger.borrow());
+    let (connection_admission, buffer_budget) =
+        (core.connection_admission.borrow(), core.buffer_budget.borrow());
     let Snapshot { open, handshakes, known, reserve, refused, evicted, addresses, clients, blocked } =
         connection_admission.snapshot(MOST_LISTED);
     let holder = |h: fawnrouter_admission::Holding| Holder { who: h.who, count: h.open };
@@ -269,8 +270,8 @@
         reserve,
         room: connection_admission.descriptors.clients(),
         famine: connection_admission.descriptors.in_famine(),
-        buffered_bytes: ledger.used(),
-        over_budget: ledger.refused(),
+        buffered_bytes: buffer_budget.used(),
+        over_budget: buffer_budget.refused(),
         refused: refused.into_iter().map(|(r, n)| (r.text().to_owned(), n)).collect(),
         closed: evicted.into_iter().map(|(e, n)| (e.text().to_owned(), n)).collect(),
         addresses: addresses.into_iter().map(holder).collect(),
--- a/crates/fawnrouterd/src/core.rs
+++ b/crates/fawnrouterd/src/core.rs
@@ -21,7 +21,7 @@
 use crate::log::Spans;
 use crate::outbox::Outbox;
 use crate::pump::Pump;
-use crate::share::{Ledger, Share, ledger};
+use crate::share::{BufferBudget, Share, buffer_budget};
 
 /// Opens a connection to a switch. The core is told at its start who does that, so that it knows no driver.
 pub type Opener = fn(Rc<Core>, ServerId, SocketAddr, Rc<Outbox>);
@@ -32,8 +32,8 @@
     spans: RefCell<Spans>,
     pub connections: RefCell<Connections>,
     pub connection_admission: RefCell<ConnectionAdmission>,
-    /// Bytes that wait.
-    pub ledger: Ledger,
+    /// Memory for bytes that wait to be written or to be a whole message.
+    pub buffer_budget: BufferBudget,
     /// Where reads go first: one buffer for all connections, as nothing awaits while it holds something.
     pub scratch: RefCell<Vec<u8>>,
     pub settings: Settings,
@@ -62,7 +62,7 @@
             spans: RefCell::default(),
             connections: RefCell::default(),
             connection_admission: RefCell::new(connection_admission),
-            ledger: ledger(bytes),
+            buffer_budget: buffer_budget(bytes),
             scratch: RefCell::new(vec![0; 64 * 1024]),
             settings,
             open_trunk,
@@ -87,7 +87,7 @@
 
     /// A fresh outbox.
     pub fn outbox(&self, whose: For) -> Outbox {
-        Outbox::sharing(self.settings.limits.write_backlog_bytes, Share::of(&self.ledger, whose))
+        Outbox::sharing(self.settings.limits.write_backlog_bytes, Share::of(&self.buffer_budget, whose))
     }
 
     /// Gives the engine an input and carries out what it says.
@@ -184,7 +184,7 @@
 
     /// A line of counts for the log.
     pub fn log_counts(&self) {
-        let (connections, bytes) = (self.connections.borrow(), self.ledger.borrow());
+        let (connections, buffer_budget) = (self.connections.borrow(), self.buffer_budget.borrow());
         let (c, live) = self.with_engine(|engine| (engine.counters(), engine.live_calls()));
         tracing::info!(
             taken = c.taken,
@@ -198,7 +198,7 @@
             attempts = c.attempts,
             live,
             connections = connections.clients(),
-            buffered_bytes = bytes.used(),
+            buffered_bytes = buffer_budget.used(),
             "counts"
         );
     }
--- a/crates/fawnrouterd/src/outbox.rs
+++ b/crates/fawnrouterd/src/outbox.rs
@@ -54,7 +54,7 @@
         Self::sharing(limit, Share::unbound())
     }
 
-    /// One whose bytes are of an account.
+    /// One whose bytes count against a budget.
     pub fn sharing(limit: usize, share: Share) -> Self {
         Self {
             waiting: RefCell::default(),
--- a/crates/fawnrouterd/src/share.rs
+++ b/crates/fawnrouterd/src/share.rs
@@ -6,37 +6,38 @@
 
 use fawnrouter_admission::{ByteSettings, Bytes, For};
 
-/// The account of all connections.
-pub type Ledger = Rc<RefCell<Bytes>>;
+/// The memory for bytes that wait, shared by all connections.
+pub type BufferBudget = Rc<RefCell<Bytes>>;
 
-/// A new account.
-pub fn ledger(settings: ByteSettings) -> Ledger {
+/// A budget that nobody holds anything of.
+pub fn buffer_budget(settings: ByteSettings) -> BufferBudget {
     Rc::new(RefCell::new(Bytes::new(settings)))
 }
 
 /// One share; given back when it is dropped.
 pub struct Share {
-    ledger: Option<Ledger>,
+    budget: Option<BufferBudget>,
     whose: For,
     held: Cell<usize>,
 }
 
 impl Share {
-    /// A share of this account.
-    pub fn of(ledger: &Ledger, whose: For) -> Self {
-        Self { ledger: Some(ledger.clone()), whose, held: Cell::new(0) }
+    /// A share of this budget.
+    pub fn of(budget: &BufferBudget, whose: For) -> Self {
+        Self { budget: Some(budget.clone()), whose, held: Cell::new(0) }
     }
 
-    /// A share that is of no account and may be any size.
+    /// A share that is of no budget and may be any size.
     pub fn unbound() -> Self {
-        Self { ledger: None, whose: For::Client, held: Cell::new(0) }
+        Self { budget: None, whose: For::Client, held: Cell::new(0) }
     }
 
     /// It is so large now; `false` if that is more than it may be.
     pub fn set(&self, now: usize) -> bool {
         let before = self.held.replace(now);
         // Most messages leave nothing behind.
-        before == now || self.ledger.as_ref().is_none_or(|l| l.borrow_mut().change(self.whose, before, now))
+        before == now
+            || self.budget.as_ref().is_none_or(|budget| budget.borrow_mut().change(self.whose, before, now))
     }
 }
 
--- a/crates/fawnrouterd/src/trunk.rs
+++ b/crates/fawnrouterd/src/trunk.rs
@@ -47,7 +47,7 @@
 }
 
 async fn read(core: &Rc<Core>, server: ServerId, stream: &Async<TcpStream>, outbox: &Rc<Outbox>) {
-    let held = Share::of(&core.ledger, For::Trunk);
+    let held = Share::of(&core.buffer_budget, For::Trunk);
     let mut decoder = StreamDecoder::new(core.sip_limits());
     loop {
         let n = stream.read_with(|mut s| s.read(&mut core.scratch.borrow_mut())).await;
