--- a/crates/fawnrouter-lab/src/day.rs
+++ b/crates/fawnrouter-lab/src/day.rs
@@ -21,7 +21,7 @@
 use crate::plan::{Act, timeline};
 use crate::report::{Report, Spill};
 use crate::script::{FIRST_SWITCH, Script, SwitchPlan};
-use crate::stand::{Distance, Stand};
+use crate::stand_in::{Distance, StandIn};
 use crate::switch::Make;
 use crate::tap::Tap;
 
@@ -63,7 +63,7 @@
     script: Script,
     pub tap: Rc<Tap>,
     pub executor: Rc<LocalExecutor<'static>>,
-    stands: RefCell<BTreeMap<u32, Rc<Stand>>>,
+    stand_ins: RefCell<BTreeMap<u32, Rc<StandIn>>>,
     /// The pool of each switch that there ever was.
     pools: RefCell<BTreeMap<u32, u32>>,
     registry: RefCell<Registry>,
@@ -131,7 +131,7 @@
         let lab = Rc::new(Self {
             tap,
             executor: executor.clone(),
-            stands: RefCell::default(),
+            stand_ins: RefCell::default(),
             pools: RefCell::default(),
             registry: RefCell::new(registry),
             writing: Mutex::new(()),
@@ -143,14 +143,14 @@
         });
         for (n, plan) in lab.script.switches.clone().iter().enumerate() {
             let n = n as u32;
-            lab.open_stand(FIRST_SWITCH + n, n, plan, false)?;
+            lab.open_stand_in(FIRST_SWITCH + n, n, plan, false)?;
         }
         let truth = lab.registry.borrow().truth.clone();
         lab.publish_as(0, truth).await?;
         Ok(lab)
     }
 
-    fn open_stand(&self, id: u32, pool: u32, plan: &SwitchPlan, cold: bool) -> io::Result<()> {
+    fn open_stand_in(&self, id: u32, pool: u32, plan: &SwitchPlan, cold: bool) -> io::Result<()> {
         let rules = &self.script.rules;
         let make = Make {
             capacity_per_s: plan.capacity_per_s,
@@ -168,24 +168,24 @@
             gateways: zones.map(|z| z.gateways.clone()).unwrap_or_default(),
             cross: ms(zones.map_or(0, |z| z.cross_ms)),
         };
-        let stand = Stand::open(id, (make, distance), cold, &self.tap, &self.executor)?;
-        self.list_ready(&stand, pool, plan, cold);
-        self.stands.borrow_mut().insert(id, stand);
+        let stand_in = StandIn::open(id, (make, distance), cold, &self.tap, &self.executor)?;
+        self.list_ready(&stand_in, pool, plan, cold);
+        self.stand_ins.borrow_mut().insert(id, stand_in);
         self.pools.borrow_mut().insert(id, pool);
         Ok(())
     }
 
     /// The truth names a switch that takes calls.
-    fn list_ready(&self, stand: &Stand, pool: u32, plan: &SwitchPlan, cold: bool) {
+    fn list_ready(&self, stand_in: &StandIn, pool: u32, plan: &SwitchPlan, cold: bool) {
         let line = SwitchLine {
-            id: stand.id,
-            address: stand.address,
+            id: stand_in.id,
+            address: stand_in.address,
             zone: plan.zone.clone(),
             pool,
             state: SwitchState::Ready,
             up_since_ms: cold.then(unix_ms),
         };
-        self.registry.borrow_mut().truth.insert(stand.id, line);
+        self.registry.borrow_mut().truth.insert(stand_in.id, line);
     }
 
     /// Starts all gateways and the callers' connections to them.
@@ -266,38 +266,38 @@
     }
 
     async fn act(self: &Rc<Self>, act: Act) -> io::Result<()> {
-        let stand = |id: u32| self.stands.borrow().get(&id).cloned();
+        let stand_in = |id: u32| self.stand_ins.borrow().get(&id).cloned();
         match act {
             Act::Load(times) => self.load.set(times),
             Act::Still(id, span) => {
-                if let Some(stand) = stand(id) {
-                    stand.stand_still(ms(span));
+                if let Some(stand_in) = stand_in(id) {
+                    stand_in.stand_still(ms(span));
                 }
             }
             Act::Slow(id, times) => {
-                if let Some(stand) = stand(id) {
-                    stand.with(|p| p.slow = times);
+                if let Some(stand_in) = stand_in(id) {
+                    stand_in.with(|p| p.slow = times);
                 }
             }
             Act::Silent(id) => {
-                if let Some(stand) = stand(id) {
-                    stand.with(|p| p.silent = true);
+                if let Some(stand_in) = stand_in(id) {
+                    stand_in.with(|p| p.silent = true);
                 }
                 self.registry.borrow_mut().truth.remove(&id);
                 self.changed();
             }
             Act::Stop(id) => {
-                if let Some(stand) = stand(id) {
-                    stand.stop();
+                if let Some(stand_in) = stand_in(id) {
+                    stand_in.stop();
                 }
                 self.registry.borrow_mut().truth.remove(&id);
                 self.changed();
             }
             Act::Start(id) => {
-                let Some(stand) = stand(id) else { return Ok(()) };
-                stand.start_cold().await?;
+                let Some(stand_in) = stand_in(id) else { return Ok(()) };
+                stand_in.start_cold().await?;
                 let pool = id - FIRST_SWITCH;
-                self.list_ready(&stand, pool, &self.script.switches[pool as usize], true);
+                self.list_ready(&stand_in, pool, &self.script.switches[pool as usize], true);
                 self.changed();
             }
             Act::Drain(id) => {
@@ -309,7 +309,7 @@
             Act::Replace(new, old) => {
                 let pool = old - FIRST_SWITCH;
                 let plan = self.script.switches[pool as usize].clone();
-                self.open_stand(new, pool, &plan, true)?;
+                self.open_stand_in(new, pool, &plan, true)?;
                 self.changed();
             }
             Act::ListDelay(delay) => self.registry.borrow_mut().delay = ms(delay),
@@ -325,13 +325,13 @@
                 }
             }
             Act::LateAnswers(id, late) => {
-                if let Some(stand) = stand(id) {
-                    stand.with(|p| p.late = ms(late));
+                if let Some(stand_in) = stand_in(id) {
+                    stand_in.with(|p| p.late = ms(late));
                 }
             }
             Act::CrossCancel(id, on) => {
-                if let Some(stand) = stand(id) {
-                    stand.with(|p| p.cross_cancel = on);
+                if let Some(stand_in) = stand_in(id) {
+                    stand_in.with(|p| p.cross_cancel = on);
                 }
             }
         }
@@ -454,8 +454,8 @@
             let end = (self.script.seconds * 1000).min(to);
             report.window(trouble.name(), (from + shift, end + shift));
         }
-        let stands = self.stands.borrow();
-        report.fallen = stands.values().filter(|s| s.fallen()).map(|s| s.id).collect();
+        let stand_ins = self.stand_ins.borrow();
+        report.fallen = stand_ins.values().filter(|s| s.fallen()).map(|s| s.id).collect();
         report.audit = self.tap.finish(figures(&self.script));
         report.spill = self.spill(&report.audit)?;
         Ok(report)
--- a/crates/fawnrouter-lab/src/lib.rs
+++ b/crates/fawnrouter-lab/src/lib.rs
@@ -13,7 +13,7 @@
 mod plan;
 mod report;
 mod script;
-mod stand;
+mod stand_in;
 mod switch;
 mod tap;
 
--- a/crates/fawnrouter-lab/src/stand.rs
+++ b/crates/fawnrouter-lab/src/stand_in.rs
@@ -44,7 +44,7 @@
 }
 
 /// A switch in the lab.
-pub struct Stand {
+pub struct StandIn {
     pub id: u32,
     pub address: SocketAddr,
     make: Make,
@@ -61,7 +61,7 @@
     fallen: Cell<bool>,
 }
 
-impl Stand {
+impl StandIn {
     /// Opens one on a free port. A cold one tells the auditor so.
     pub fn open(
         id: u32,
@@ -74,7 +74,7 @@
         let address = listener.get_ref().local_addr()?;
         make.contact = format!("<sip:switch{id}@{address};transport=tcp>");
         let processor = RefCell::new(Processor::new(make.clone(), cold.then(|| tap.now())));
-        let stand = Rc::new(Self {
+        let stand_in = Rc::new(Self {
             id,
             address,
             make,
@@ -90,11 +90,11 @@
             fallen: Cell::new(false),
         });
         if cold {
-            stand.tell_start();
+            stand_in.tell_start();
         }
-        stand.accept(listener);
-        executor.spawn(tick(stand.clone())).detach();
-        Ok(stand)
+        stand_in.accept(listener);
+        executor.spawn(tick(stand_in.clone())).detach();
+        Ok(stand_in)
     }
 
     /// Whether it was pushed over.
@@ -150,13 +150,13 @@
     }
 
     fn accept(self: &Rc<Self>, listener: Async<TcpListener>) {
-        let stand = self.clone();
+        let stand_in = self.clone();
         let task = self.executor.spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let conn = stand.tap.opened(Side::Trunk { switch: stand.id });
+                let conn = stand_in.tap.opened(Side::Trunk { switch: stand_in.id });
                 let outbox = Rc::new(Outbox::new(BACKLOG));
-                stand.conns.borrow_mut().insert(conn, outbox.clone());
-                stand.executor.spawn(serve(stand.clone(), conn, stream, outbox)).detach();
+                stand_in.conns.borrow_mut().insert(conn, outbox.clone());
+                stand_in.executor.spawn(serve(stand_in.clone(), conn, stream, outbox)).detach();
             }
         });
         *self.accepting.borrow_mut() = Some(task);
@@ -200,56 +200,56 @@
     }
 }
 
-async fn serve(stand: Rc<Stand>, conn: u64, stream: Async<TcpStream>, outbox: Rc<Outbox>) {
+async fn serve(stand_in: Rc<StandIn>, conn: u64, stream: Async<TcpStream>, outbox: Rc<Outbox>) {
     let _ = stream.get_ref().set_nodelay(true);
     let reading = async {
         let mut decoder = StreamDecoder::new(Limits::default());
         let mut buffer = vec![0; 64 * 1024];
         while let Ok(n @ 1..) = stream.read_with(|mut s| s.read(&mut buffer)).await {
             // After a stop, bytes that were on the way have reached nobody.
-            if !stand.conns.borrow().contains_key(&conn) {
+            if !stand_in.conns.borrow().contains_key(&conn) {
                 return;
             }
-            stand.tap.bytes(conn, Way::Out, &buffer[..n]);
+            stand_in.tap.bytes(conn, Way::Out, &buffer[..n]);
             decoder.push(&buffer[..n]);
             let mut steps = Vec::new();
             while let Ok(Some(chunk)) = decoder.next_chunk() {
                 if let Chunk::Message(message) = chunk {
-                    let now = stand.tap.now();
-                    if stand.distance.is_far(&message) {
-                        stand.far.borrow_mut().insert(conn);
+                    let now = stand_in.tap.now();
+                    if stand_in.distance.is_far(&message) {
+                        stand_in.far.borrow_mut().insert(conn);
                     }
-                    if stand.far.borrow().contains(&conn) {
-                        let due = now + stand.distance.cross;
-                        stand.coming.borrow_mut().push_back((due, conn, message));
+                    if stand_in.far.borrow().contains(&conn) {
+                        let due = now + stand_in.distance.cross;
+                        stand_in.coming.borrow_mut().push_back((due, conn, message));
                     } else {
-                        stand.processor.borrow_mut().take(now, conn, message, &mut steps);
+                        stand_in.processor.borrow_mut().take(now, conn, message, &mut steps);
                     }
                 }
             }
-            stand.carry_out(steps);
+            stand_in.carry_out(steps);
         }
     };
     let writing = async {
         let _ = outbox.write_to(&stream).await;
     };
     future::or(future::or(reading, writing), outbox.killed()).await;
-    if stand.conns.borrow_mut().remove(&conn).is_some() {
-        stand.tap.closed(conn);
+    if stand_in.conns.borrow_mut().remove(&conn).is_some() {
+        stand_in.tap.closed(conn);
     }
-    stand.processor.borrow_mut().disconnected(conn);
+    stand_in.processor.borrow_mut().disconnected(conn);
 }
 
 /// Lets the processor do what is due. A millisecond's step is far below the times that matter.
-async fn tick(stand: Rc<Stand>) {
+async fn tick(stand_in: Rc<StandIn>) {
     loop {
-        let now = stand.tap.now();
-        let due = stand.processor.borrow().next_due();
+        let now = stand_in.tap.now();
+        let due = stand_in.processor.borrow().next_due();
         let wait = due.map_or(Duration::from_millis(2), |d| d.saturating_sub(now));
         Timer::after(wait.min(Duration::from_millis(2))).await;
         let mut steps = Vec::new();
-        stand.arrive(stand.tap.now(), &mut steps);
-        stand.processor.borrow_mut().pass(stand.tap.now(), &mut steps);
-        stand.carry_out(steps);
+        stand_in.arrive(stand_in.tap.now(), &mut steps);
+        stand_in.processor.borrow_mut().pass(stand_in.tap.now(), &mut steps);
+        stand_in.carry_out(steps);
     }
 }
