--- a/crates/fawnrouter-lab/src/flood.rs
+++ b/crates/fawnrouter-lab/src/flood.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use socket2::{Domain, Socket, Type};
 
-use crate::script::{Trouble, Way};
+use crate::script::{FloodKind, Trouble};
 
 /// A flood.
 #[derive(Clone, Copy, Debug, clap::Args)]
@@ -27,7 +27,7 @@
     to: SocketAddr,
     /// What strangers do.
     #[arg(long)]
-    way: Way,
+    way: FloodKind,
     /// From how many addresses.
     #[arg(long, value_parser = clap::value_parser!(u32).range(1..=60_000))]
     addresses: u32,
@@ -224,7 +224,7 @@
         let request = shake.request("gateway.invalid", "/", None);
         let writing = async {
             let mut to = &stream;
-            if self.options.way == Way::Slow {
+            if self.options.way == FloodKind::Slow {
                 for byte in &request {
                     if to.write_all(&[*byte]).await.is_err() {
                         break;
@@ -246,7 +246,7 @@
 
     /// Until the gateway ends it: `Some` if it said goodbye, an error if it did not.
     async fn stay(&mut self, stream: &Async<TcpStream>, rest: Vec<u8>) -> io::Result<Option<()>> {
-        if self.options.way == Way::Deaf {
+        if self.options.way == FloodKind::Deaf {
             let mut one = Vec::new();
             encode(Opcode::Text, &ask(self.n), Some([1, 2, 3, 4]), &mut one);
             loop {
--- a/crates/fawnrouter-lab/src/script.rs
+++ b/crates/fawnrouter-lab/src/script.rs
@@ -139,10 +139,10 @@
     }
 }
 
-/// What strangers do.
+/// The kind of a flood: what its strangers do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, clap::ValueEnum)]
 #[serde(rename_all = "lowercase")]
-pub enum Way {
+pub enum FloodKind {
     /// They connect, upgrade and do nothing.
     Idle,
     /// They send their request one byte a second.
@@ -153,7 +153,7 @@
     Calls,
 }
 
-impl Way {
+impl FloodKind {
     /// Its name in reports.
     #[must_use]
     pub const fn name(self) -> &'static str {
@@ -198,7 +198,7 @@
     Flood {
         at_ms: u64,
         for_ms: u64,
-        way: Way,
+        way: FloodKind,
         #[schemars(range(min = 1, max = 60_000))]
         addresses: u32,
         #[schemars(range(min = 0.1, max = 20_000.0))]
