--- a/crates/fawnrouter-engine/src/caller.rs
+++ b/crates/fawnrouter-engine/src/caller.rs
@@ -249,7 +249,7 @@
             self.out.push(Output::ToClient { client, bytes });
         }
         self.word(id, || CallWord::Answered { status: answer.status, after });
-        self.leaves(id);
+        self.set_up_over(id);
         self.pending -= 1;
         self.table.due.set(Key::Call(id), self.now.plus(ACK_WAIT));
         self.table.retire(id, self.settings.intake.calls);
@@ -273,7 +273,7 @@
             call.out = None;
             call.invite = None;
         }
-        self.stays(id, Stay::Standing);
+        self.set_up_moved(id, Stay::Standing);
         self.pending -= 1;
         self.counters.stood += 1;
         self.table.due.set(Key::Call(id), self.now.plus(ACK_WAIT));
--- a/crates/fawnrouter-engine/src/engine.rs
+++ b/crates/fawnrouter-engine/src/engine.rs
@@ -142,7 +142,7 @@
             Input::Stop => self.stop(),
         }
         self.run();
-        self.give_turns();
+        self.hand_over_next();
         if self.intake.draining() && !self.drained_told && self.table.live() == 0 {
             self.drained_told = true;
             self.out.push(Output::Drained);
@@ -216,7 +216,7 @@
         while let Some(event) = self.events.pop_front() {
             // An attempt that ended without a standing call leaves the call with the controller.
             if let Event::Closed { call, done: false, .. } = &event {
-                self.stays(*call, Stay::Held);
+                self.set_up_moved(*call, Stay::Held);
             }
             self.controller.handle(self.now, event, &mut actions);
             for action in actions.drain(..) {
@@ -312,7 +312,7 @@
             // The controller answers well before this. It guards against one that did not, as after the process
             // stood still: the caller gets its answer all the same.
             Stage::Routing => {
-                if self.waited(id) {
+                if self.wait_expired(id) {
                     return;
                 }
                 self.counters.failed += 1;
@@ -512,7 +512,7 @@
     /// Tells the controller of a standing call's end, and forgets the call; its leg stays.
     pub(crate) fn end_standing(&mut self, call: CallId, leg: LegId, outcome: Outcome) {
         let Some(ended) = self.table.drop_call(call) else { return };
-        self.leaves(call);
+        self.set_up_over(call);
         if let (Some(leg), Stage::Standing { since, .. }) = (self.table.legs.get(&leg), &ended.stage) {
             let (attempt, server) = (leg.attempt, leg.server);
             let took = self.now.since(leg.sent);
--- a/crates/fawnrouter-engine/src/lib.rs
+++ b/crates/fawnrouter-engine/src/lib.rs
@@ -12,7 +12,7 @@
 //! | --- | --- |
 //! | `gate` | the decisions before the controller's, made in crates of their own |
 //! | `identify` | who a client is, and what its request is answered if that does not do |
-//! | `turns` | whose set-up is next |
+//! | `set_up_admission` | whose set-up is next |
 //! | `intake` | which new call is taken at all: limits, drain |
 //! | `classify` | class, tenant and first-choice pool of a call, by rules in the settings |
 //! | `status` | the written table of SIP status and [`fawnrouter::Outcome`], both ways |
@@ -29,10 +29,10 @@
 mod identity;
 mod intake;
 mod interface;
+mod set_up_admission;
 mod status;
 mod table;
 mod trunk;
-mod turns;
 
 pub use classify::{CallRules, Classified, Destination, Match, Rule};
 pub use engine::{Engine, EngineError};
--- a/crates/fawnrouter-engine/src/turns.rs
+++ b/crates/fawnrouter-engine/src/set_up_admission.rs
@@ -17,13 +17,13 @@
         };
         let (turn, pushed) = set_ups.offer(self.now.0, known.identity.who(), id.0);
         if let Some((other, turn)) = pushed {
-            self.turn_away(CallId(other), turn);
+            self.refuse_set_up(CallId(other), turn);
         }
         turn
     }
 
     /// The final answer of a call that waited in vain.
-    fn turn_away(&mut self, id: CallId, turn: Turn) {
+    fn refuse_set_up(&mut self, id: CallId, turn: Turn) {
         if let Turn::Refuse { why, retry_after } = turn {
             self.counters.refused += 1;
             let retry_after_s = Some(whole_seconds(retry_after).max(1));
@@ -32,12 +32,12 @@
     }
 
     /// A call that may wait has waited for as long as it may; `false` if it does not wait.
-    pub(crate) fn waited(&mut self, id: CallId) -> bool {
+    pub(crate) fn wait_expired(&mut self, id: CallId) -> bool {
         let now = self.now.0;
         let turn = self.gate.set_ups.as_mut().and_then(|s| s.waited(now, id.0));
         match turn {
             Some(turn) => {
-                self.turn_away(id, turn);
+                self.refuse_set_up(id, turn);
                 true
             }
             None => false,
@@ -54,7 +54,7 @@
     }
 
     /// Hands over the calls whose turn has come.
-    pub(crate) fn give_turns(&mut self) {
+    pub(crate) fn hand_over_next(&mut self) {
         let now = self.now.0;
         while let Some(id) = self.gate.set_ups.as_mut().and_then(|s| s.next(now)) {
             let waiting = self.table.calls.get_mut(&CallId(id)).and_then(|c| c.waits.take());
@@ -65,16 +65,16 @@
         }
     }
 
-    /// Tells the gate where a call is.
-    pub(crate) fn stays(&mut self, id: CallId, stay: Stay) {
+    /// Tells the decisions on set-ups where a call is now.
+    pub(crate) fn set_up_moved(&mut self, id: CallId, stay: Stay) {
         let now = self.now.0;
         if let Some(set_ups) = &mut self.gate.set_ups {
             set_ups.moved(now, id.0, stay);
         }
     }
 
-    /// Tells the gate that a call is over.
-    pub(crate) fn leaves(&mut self, id: CallId) {
+    /// Tells the decisions on set-ups that a call is over.
+    pub(crate) fn set_up_over(&mut self, id: CallId) {
         let now = self.now.0;
         if let Some(set_ups) = &mut self.gate.set_ups {
             set_ups.over(now, id.0);
--- a/crates/fawnrouter-engine/src/trunk.rs
+++ b/crates/fawnrouter-engine/src/trunk.rs
@@ -120,7 +120,7 @@
         }
         let bytes = draft.finish_with_body_of(invite);
         call.out = Some(leg_id);
-        self.stays(id, Stay::Out);
+        self.set_up_moved(id, Stay::Out);
         let leg = Leg {
             call: id,
             attempt,
