Node: calls of a switch that left the list and is back with a new start are cut

Seen: in the hollow fleet a core switch that vanished and was listed again 2 s later with a new start kept its calls: 87 of 102 were released, the callers of the others were never told. Ruled out: liveness (the new process passes tests, so nothing says that the old one died) and the cut after 2.5 s off the list (it was back before). At fault: Node::take_pool compared the start with the entry of the list before, which is empty once a switch has left it, so that a new start was not seen (node/list.rs). Change: a start that is told as a switch comes back counts as new; calls that stood before it are cut, as at any new start. Result: test with real connections, the caller heard nothing within 20 s without the change and hears it at once with it; a second test holds that calls stand on where no new start is told. 18 tests of the file and 28 of the hollow rig pass.

--- a/crates/fawnrouter-node/src/node/list.rs
+++ b/crates/fawnrouter-node/src/node/list.rs
@@ -56,7 +56,11 @@
             let before = s.listed.replace(listed.clone());
             s.life.listed(self.now, Some(listed.state));
             self.links.site(server, listed.address).address = listed.address;
-            if before.is_some_and(|b| b.started != listed.started) {
+            // One that had left the list and is back may have started anew meanwhile. Guards against calls that stood
+            // before that start and of which nobody would be told any more.
+            let has_new_start =
+                before.map_or(listed.started.is_some(), |before| before.started != listed.started);
+            if has_new_start {
                 self.cut(server, listed.started, "has started anew");
             }
         }
--- a/crates/fawnrouterd/tests/list.rs
+++ b/crates/fawnrouterd/tests/list.rs
@@ -576,6 +576,50 @@
     assert!(again <= 1, "what was open at the old one is sent to the new one once at the most");
 }
 
+/// From now on a core switch passes every test, on old connections and new ones.
+fn passes_tests(switch: Switch) {
+    std::thread::spawn(move || {
+        for said in switch.lines.iter().filter(|said| said.line["verb"] == "ECHO") {
+            let tag = &said.line["tag"];
+            say(&said.stream, &json!({"verb": "ECHOED", "tag": tag, "opts": {}, "rc": 1}));
+        }
+    });
+}
+
+/// A gateway with a call that stands at `s-1`, which leaves the list and is listed again, `anew` with a start of that
+/// moment, before the time is over after which one that has left is given up. It passes tests all the while.
+fn leaves_the_list_and_is_back(test: &str, anew: bool) -> (Gateway, Names, Caller) {
+    let (one, two) = (Switch::new(), Switch::new());
+    let (first, second) = (one.address, two.address);
+    let names = Names::telling(list(1, [ready("s-1", first)]));
+    let gateway = Gateway::start(test, &settings(&names, &[("s-1", first)]));
+    let mut caller = gateway.caller();
+    stands_at(&mut caller, TAG, &one);
+    passes_tests(one);
+    names.tells(list(2, [ready("s-2", second)]));
+    names.is_heard();
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let started = if anew { now.as_millis() as u64 } else { 0 };
+    names.tells(list(3, [Row { started, ..ready("s-1", first) }, ready("s-2", second)]));
+    names.is_heard();
+    (gateway, names, caller)
+}
+
+#[test]
+fn calls_of_a_switch_that_leaves_the_list_and_is_back_with_a_new_start_are_over() {
+    let (_gateway, _names, mut caller) = leaves_the_list_and_is_back("list-back-anew", true);
+    let heard = caller.hears().expect("the call stood before the start");
+    assert_eq!((&heard["verb"], &heard["tag"]), (&json!("FINISH"), &json!(TAG)), "{heard}");
+}
+
+#[test]
+fn calls_of_a_switch_that_leaves_the_list_and_is_back_without_a_new_start_stand_on() {
+    let (_gateway, _names, mut caller) = leaves_the_list_and_is_back("list-back", false);
+    is_heard(&mut caller);
+    caller.says(&release(TAG));
+    assert_eq!(caller.hears().unwrap()["verb"], "FINISHED", "it stood until its caller released it");
+}
+
 #[test]
 fn a_switch_that_is_first_seen_draining_is_neither_called_nor_connected_to() {
     let (one, brief) = (Switch::new(), Switch::new());
