--- /dev/null
+++ b/crates/fawnrouter-capacity/src/fit.rs
@@ -0,0 +1,151 @@
+//! Base, slope and residual of a series; the power by which it grows; its value at another size.
+//!
+//! Every fit is one by ordinary least squares. The rule by which a series counts as not linear is in [`Growth`] and the
+//! constants that it names.
+
+mod estimate;
+mod growth;
+mod least_squares;
+mod power;
+mod terms;
+
+pub use self::estimate::{Estimate, Origin, SAME_SIZE_SHARE, estimate};
+pub use self::growth::{
+    FORM_EXPLAINS_R_SQUARED, FORM_LEAVES_OF_LINE, Growth, LINE_EXPLAINS_R_SQUARED, LINE_HOLDS_RELATIVE_RMS,
+    Level, NOT_LINEAR_BEND, NOT_LINEAR_EXPONENT,
+};
+pub use self::power::{Curve, Power};
+pub use self::terms::Residual;
+
+use self::growth::{growth, quadratic};
+use self::least_squares::least_squares;
+use self::terms::{base_and_factor, residual};
+use crate::figures::Point;
+
+/// Points that a fit needs.
+pub const MIN_POINTS: usize = 4;
+
+/// Why a series has no fit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum FitError {
+    /// There are too few points.
+    #[error("too few points ({found} of {MIN_POINTS})")]
+    TooFewPoints {
+        /// How many there are.
+        found: usize,
+    },
+    /// A size is not greater than the one before it.
+    #[error("the sizes do not rise at point {position}")]
+    SizesDoNotRise {
+        /// The place of the point, from 1.
+        position: usize,
+    },
+    /// A size is negative, or a figure is no finite number.
+    #[error("point {position} has a negative size or is no finite number")]
+    BadPoint {
+        /// The place of the point, from 1.
+        position: usize,
+    },
+}
+
+/// `base + slope x size`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    /// The value at size 0.
+    pub base: f64,
+    /// The growth with each unit of size.
+    pub slope: f64,
+    /// How far the line lies from the points.
+    pub residual: Residual,
+}
+
+impl Line {
+    /// The value on the line.
+    #[must_use]
+    pub fn at(&self, size: f64) -> f64 {
+        self.base + self.slope * size
+    }
+}
+
+/// What is known of a series.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fit {
+    /// The line through the points.
+    pub line: Line,
+    /// Slope of the line through the logarithms, over points above 0; none where there are fewer than two.
+    pub exponent: Option<f64>,
+    /// How far the quadratic fit leaves its chord in the middle, as a share of the spread of the values; above 0 if it
+    /// bends upwards.
+    pub bend: f64,
+    /// How it grows.
+    pub growth: Growth,
+}
+
+impl Fit {
+    /// The fit of a series whose points stand by rising size.
+    ///
+    /// # Errors
+    /// Where points are too few, do not rise, or are no numbers.
+    pub fn of(points: &[Point]) -> Result<Self, FitError> {
+        check(points)?;
+        let line = line(points);
+        let exponent = exponent(points);
+        let quadratic = quadratic(points);
+        let growth = growth(points, &line, exponent, quadratic);
+        Ok(Self { line, exponent, bend: quadratic.bend, growth })
+    }
+
+    /// The residual of what describes the series: of the mean, the line or the curve.
+    #[must_use]
+    pub fn residual(&self) -> Residual {
+        match self.growth {
+            Growth::NoneSeen(level) => level.residual,
+            Growth::Linear | Growth::Slower => self.line.residual,
+            Growth::Faster(curve) => curve.residual,
+        }
+    }
+
+    /// The fitted value at a size.
+    #[must_use]
+    pub fn at(&self, size: f64) -> f64 {
+        match self.growth {
+            Growth::NoneSeen(level) => level.mean,
+            Growth::Linear | Growth::Slower => self.line.at(size),
+            Growth::Faster(curve) => curve.at(size),
+        }
+    }
+}
+
+fn check(points: &[Point]) -> Result<(), FitError> {
+    let is_bad = |point: &Point| !point.size.is_finite() || point.size < 0.0 || !point.value.is_finite();
+    if let Some(index) = points.iter().position(is_bad) {
+        return Err(FitError::BadPoint { position: index + 1 });
+    }
+    if let Some(index) = points.windows(2).position(|pair| pair[0].size >= pair[1].size) {
+        return Err(FitError::SizesDoNotRise { position: index + 2 });
+    }
+    if points.len() < MIN_POINTS {
+        return Err(FitError::TooFewPoints { found: points.len() });
+    }
+    Ok(())
+}
+
+fn line(points: &[Point]) -> Line {
+    let (base, slope) = base_and_factor(points, Power::One);
+    let residual = residual(points, |size| base + slope * size);
+    Line { base, slope, residual }
+}
+
+/// Slope of the least-squares line through the logarithms.
+fn exponent(points: &[Point]) -> Option<f64> {
+    let is_positive = |point: &&Point| point.size > 0.0 && point.value > 0.0;
+    let positive: Vec<&Point> = points.iter().filter(is_positive).collect();
+    if positive.len() < 2 {
+        return None;
+    }
+    let ones = vec![1.0; positive.len()];
+    let sizes = positive.iter().map(|point| point.size.ln()).collect();
+    let values: Vec<f64> = positive.iter().map(|point| point.value.ln()).collect();
+    least_squares(&[ones, sizes], &values).last().copied()
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/src/hollow/meter.rs
@@ -0,0 +1,57 @@
+//! What a piece of work costs this process: time on the clock, allocations, memory.
+
+use std::alloc::System;
+use std::time::Instant;
+
+use stats_alloc::{Region, StatsAlloc};
+
+use super::ledger::Flow;
+
+/// The counting allocator, which only a program can install.
+pub type Allocator = &'static StatsAlloc<System>;
+
+/// Measures work. What is measured runs in one thread and waits for nothing, so that time on the clock is processor time
+/// as far as the machine has a core free for it.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Meter {
+    is_on: bool,
+    allocator: Option<Allocator>,
+}
+
+impl Meter {
+    pub fn new(allocator: Option<Allocator>) -> Self {
+        Self { is_on: true, allocator }
+    }
+
+    /// One that measures nothing.
+    pub fn off() -> Self {
+        Self::default()
+    }
+
+    /// Does the work; with it what it cost.
+    pub fn measure<T>(&self, work: impl FnOnce() -> T) -> (T, Flow) {
+        if !self.is_on {
+            return (work(), Flow::default());
+        }
+        let region = self.allocator.map(Region::new);
+        let start = Instant::now();
+        let result = work();
+        let took = start.elapsed();
+        let allocations = region.map_or(0, |region| {
+            let change = region.change();
+            change.allocations + change.reallocations
+        });
+        let processor_nanos = u64::try_from(took.as_nanos()).unwrap_or(u64::MAX);
+        (result, Flow { processor_nanos, allocations: allocations as u64, ..Flow::default() })
+    }
+
+    /// Drops something; the bytes that this freed, if they are counted.
+    pub fn size_of<T>(&self, held: T) -> Option<u64> {
+        let region = self.allocator.map(Region::new);
+        drop(held);
+        region.map(|region| {
+            let change = region.change();
+            change.bytes_deallocated.saturating_sub(change.bytes_allocated) as u64
+        })
+    }
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/src/hollow/runs/configuration.rs
@@ -0,0 +1,99 @@
+//! What it costs a gateway to read a configuration, and to find that it is damaged.
+
+use std::net::SocketAddr;
+
+use fawnrouter_node::Boot;
+use serde_json::Value;
+
+use crate::hollow::HollowError;
+use crate::hollow::ledger::Flow;
+use crate::hollow::members::switch_address;
+use crate::hollow::meter::{Allocator, Meter};
+use crate::platform::{GatewayPlace, SwitchRow, gateway_configuration};
+
+/// A configuration is read this often; the mean is told.
+const READINGS: u32 = 20;
+
+/// The cost of reading one configuration.
+pub(super) struct Reading {
+    pub bytes: usize,
+    /// Of one reading, in the mean.
+    pub processor_microseconds: f64,
+    pub allocations: f64,
+}
+
+/// A configuration whose list names so many core switches.
+fn configuration(seed: u64, switches: u32) -> Value {
+    let address = SocketAddr::from(([10, 255, 0, 1], 53));
+    let place = GatewayPlace {
+        name: "gateway-0".to_owned(),
+        listen: address,
+        nameserver: address,
+        seed,
+        gateways: switches.max(1),
+        number: 0,
+        descriptors: 1024,
+    };
+    let row = |number: u32| SwitchRow {
+        id: format!("s-{number:08x}"),
+        zone: "zone-0".to_owned(),
+        cell: number,
+        address: switch_address(number as usize),
+        draining: false,
+        started_unix_ms: 0,
+    };
+    let rows: Vec<SwitchRow> = (0..switches).map(row).collect();
+    gateway_configuration(&place, 1, &rows)
+}
+
+/// The last core switch has no address: all that comes before it is read before that is found.
+fn damaged(mut configuration: Value) -> Value {
+    let instances = configuration.pointer_mut("/known/results/0/fleet/instances");
+    if let Some(last) = instances.and_then(Value::as_array_mut).and_then(|rows| rows.last_mut()) {
+        last["hostPort"] = Value::from("nowhere");
+    }
+    configuration
+}
+
+fn read(text: &str, allocator: Option<Allocator>) -> (bool, Reading) {
+    let meter = Meter::new(allocator);
+    let mut sum = Flow::default();
+    let mut taken = true;
+    for _ in 0..READINGS {
+        let (boot, cost) = meter.measure(|| Boot::read(text.as_bytes()));
+        taken &= boot.is_ok();
+        sum.add(cost);
+    }
+    const NANOS_OF_A_MICROSECOND: f64 = 1e3;
+    let readings = f64::from(READINGS);
+    let reading = Reading {
+        bytes: text.len(),
+        processor_microseconds: sum.processor_nanos as f64 / NANOS_OF_A_MICROSECOND / readings,
+        allocations: sum.allocations as f64 / readings,
+    };
+    (taken, reading)
+}
+
+/// A good configuration is read.
+pub(super) fn read_good(
+    seed: u64,
+    switches: u32,
+    allocator: Option<Allocator>,
+) -> Result<Reading, HollowError> {
+    let text = configuration(seed, switches).to_string();
+    Boot::read(text.as_bytes())?;
+    Ok(read(&text, allocator).1)
+}
+
+/// A damaged configuration is refused.
+pub(super) fn read_damaged(
+    seed: u64,
+    switches: u32,
+    allocator: Option<Allocator>,
+) -> Result<Reading, HollowError> {
+    let text = damaged(configuration(seed, switches)).to_string();
+    match read(&text, allocator) {
+        (false, reading) => Ok(reading),
+        (true, _) => Err(HollowError::NotRefused),
+    }
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/src/hollow/runs/gateways.rs
@@ -0,0 +1,102 @@
+//! Slopes over the gateways of a fleet: what core switches, the list's source and the links bear.
+
+use std::time::Duration;
+
+use super::side_by_side::{Planned, Played, play_all};
+use super::{Collector, Session, Spot};
+use crate::figures::{Cause, Role, Run, Situation, Size};
+use crate::hollow::HollowError;
+use crate::hollow::outcome::Outcome;
+use crate::hollow::scenario::Scenario;
+
+const GATEWAYS: [u32; 6] = [30, 110, 330, 660, 1320, 2640];
+const GATEWAYS_QUICK: [u32; 4] = [6, 12, 18, 24];
+/// Core switches that all gateways may call.
+const OPEN_SWITCHES: u32 = 26;
+/// Few calls, so that core switches are quiet for long enough to be tested.
+const CALLS_PER_SECOND: f64 = 2.0;
+const HOLD: Duration = Duration::from_secs(3);
+const WARM_UP: Duration = Duration::from_secs(4);
+const QUIET_WARM_UP: Duration = Duration::from_secs(1);
+const QUIET_MEASURED: Duration = Duration::from_secs(2);
+const MEASURED: Duration = Duration::from_secs(4);
+const MEASURED_QUICK: Duration = Duration::from_secs(2);
+const SWITCH_CAUSES: [Cause; 3] = [Cause::Calls, Cause::Probes, Cause::Connections];
+
+pub(super) fn runs(session: &mut Session<'_>) -> Result<Vec<Run>, HollowError> {
+    Ok(vec![in_services(session)?, in_one_service(session)?])
+}
+
+/// The same fleets without calls and with a few, at each size.
+struct Pair {
+    gateways: u32,
+    quiet: Outcome,
+    calling: Outcome,
+}
+
+fn play_pairs(
+    session: &mut Session<'_>,
+    name: &str,
+    fleet: impl Fn(u64, u32) -> Scenario,
+) -> Result<Vec<Pair>, HollowError> {
+    let sizes = session.choose(&GATEWAYS, &GATEWAYS_QUICK);
+    let measured = session.choose(&[MEASURED], &[MEASURED_QUICK])[0];
+    let mut plans = Vec::new();
+    for gateways in &sizes {
+        let quiet = fleet(session.options.seed, *gateways).measuring(QUIET_WARM_UP, QUIET_MEASURED);
+        let calling = quiet.clone().holding(HOLD).measuring(WARM_UP, measured).calling(CALLS_PER_SECOND);
+        for (what, scenario) in [("quiet", quiet), ("calls", calling)] {
+            plans.push(Planned { name: format!("{name}, {what} at {gateways}"), scenario, watched: None });
+        }
+    }
+    let mut played = play_all(&plans, session.options.progress)?.into_iter();
+    let mut pairs = Vec::new();
+    for gateways in sizes {
+        if let (Some(Played { outcome: quiet, .. }), Some(Played { outcome: calling, .. })) =
+            (played.next(), played.next())
+        {
+            pairs.push(Pair { gateways, quiet, calling });
+        }
+    }
+    Ok(pairs)
+}
+
+fn in_services(session: &mut Session<'_>) -> Result<Run, HollowError> {
+    let mut collector = Collector::new(Size::Gateways);
+    for pair in play_pairs(session, "hollow-gateways", Scenario::fleet)? {
+        let spot = |role| Spot { role, situation: Situation::Quiet, size: f64::from(pair.gateways) };
+        for role in [Role::ListSource, Role::ZoneLink, Role::RegionLink] {
+            collector.seconds(spot(role), &pair.quiet, &[Cause::List]);
+        }
+        collector.held(spot(Role::ListSource), &pair.quiet);
+        note_switches(&mut collector, &pair);
+    }
+    let setting = format!(
+        "a fleet in services of 25 or 26 gateways and as many core switches, 6 zones, 3 regions, one name server; each \
+         gateway sees its service's core switches; quiet: no calls; ordinary day: {CALLS_PER_SECOND} calls a second at each \
+         gateway, held {} s",
+        HOLD.as_secs()
+    );
+    Ok(session.run("hollow-gateways", setting, collector))
+}
+
+fn in_one_service(session: &mut Session<'_>) -> Result<Run, HollowError> {
+    let mut collector = Collector::new(Size::Gateways);
+    let fleet = |seed, gateways| Scenario::one_service(seed, gateways, OPEN_SWITCHES);
+    for pair in play_pairs(session, "hollow-gateways-open", fleet)? {
+        note_switches(&mut collector, &pair);
+    }
+    let setting = format!(
+        "{OPEN_SWITCHES} core switches that every gateway may call; quiet: no calls; ordinary day: {CALLS_PER_SECOND} calls a \
+         second at each gateway, held {} s",
+        HOLD.as_secs()
+    );
+    Ok(session.run("hollow-gateways-open", setting, collector))
+}
+
+fn note_switches(collector: &mut Collector, pair: &Pair) {
+    let spot = |situation| Spot { role: Role::CoreSwitch, situation, size: f64::from(pair.gateways) };
+    collector.held(spot(Situation::Quiet), &pair.quiet);
+    collector.seconds(spot(Situation::OrdinaryDay), &pair.calling, &SWITCH_CAUSES);
+    collector.held(spot(Situation::OrdinaryDay), &pair.calling);
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/src/hollow/runs/situations.rs
@@ -0,0 +1,202 @@
+//! What each role bears in each situation, over the gateways of a fleet.
+
+use std::time::Duration;
+
+use super::side_by_side::{Planned, play_all};
+use super::{COUNTED, Collector, Session, Spot, configuration};
+use crate::figures::{Cause, Per, Quantity, Role, Run, Situation, Size};
+use crate::hollow::HollowError;
+use crate::hollow::meter::Meter;
+use crate::hollow::outcome::{Outcome, RoleOutcome};
+use crate::hollow::recording::Replayed;
+use crate::hollow::scenario::Scenario;
+use crate::plan::{Fault, FaultPlan};
+
+const GATEWAYS: [u32; 4] = [110, 220, 440, 660];
+const GATEWAYS_QUICK: [u32; 4] = [6, 9, 12, 15];
+const ROLES: [Role; 6] = [
+    Role::GatewayCalls,
+    Role::GatewayControl,
+    Role::CoreSwitch,
+    Role::ListSource,
+    Role::ZoneLink,
+    Role::RegionLink,
+];
+/// Calls a second at a gateway of the design where calls pass one gateway: 100,000 in 660.
+const DESIGN_RATE: f64 = 152.0;
+const DESIGN_RATE_QUICK: f64 = 10.0;
+/// Calls a second while something breaks, and while regions are apart for long.
+const FAULT_RATE: f64 = 5.0;
+const APART_RATE: f64 = 1.0;
+const WARM_UP: Duration = Duration::from_secs(2);
+/// From the start of what is measured to the fault.
+const BEFORE: Duration = Duration::from_secs(1);
+const ZONE_AWAY: Duration = Duration::from_secs(5);
+const APART: Duration = Duration::from_secs(45);
+const APART_QUICK: Duration = Duration::from_secs(5);
+/// The zone that fails, which is not the name server's, and what fails in it.
+const ZONE: u32 = 1;
+const SWITCH: u32 = 1;
+const SERVICE: u32 = 0;
+const CONFIGURED_SWITCHES: u32 = 26;
+/// A gateway of the service that is hit, in a zone that stays: it is called instead of the one before it.
+const WATCHED: usize = 2;
+
+/// A situation and how it is played.
+struct Part {
+    situation: Situation,
+    name: &'static str,
+    /// Calls a second at each gateway.
+    rate: f64,
+    measured: Duration,
+    faults: FaultPlan,
+}
+
+fn parts(quick: bool) -> Vec<Part> {
+    let rate = if quick { DESIGN_RATE_QUICK } else { DESIGN_RATE };
+    let apart = if quick { APART_QUICK } else { APART };
+    let at = WARM_UP + BEFORE;
+    let gone = |fault| FaultPlan::none().with(at, fault);
+    let zone = FaultPlan::gone_and_back(at, ZONE_AWAY, Fault::ZoneGone(ZONE), Fault::ZoneBack(ZONE));
+    let regions = FaultPlan::gone_and_back(at, apart, Fault::RegionsApart, Fault::RegionsJoined);
+    let part = |situation, name, rate, seconds, faults| Part {
+        situation,
+        name,
+        rate,
+        measured: Duration::from_secs(seconds),
+        faults,
+    };
+    vec![
+        part(Situation::Quiet, "quiet", 0.0, 3, FaultPlan::none()),
+        part(Situation::OrdinaryDay, "ordinary day", rate, 1, FaultPlan::none()),
+        part(Situation::MachineGone, "a machine gone", FAULT_RATE, 6, gone(Fault::SwitchGone(SWITCH))),
+        part(Situation::RackGone, "a rack gone", FAULT_RATE, 6, gone(Fault::RackGone(ZONE))),
+        part(Situation::ZoneGone, "a zone gone and back", FAULT_RATE, 12, zone),
+        part(Situation::RegionsApart, "regions apart", APART_RATE, apart.as_secs() + 7, regions),
+        part(
+            Situation::ServiceRestart,
+            "a service restarted",
+            FAULT_RATE,
+            7,
+            gone(Fault::ServiceRestart(SERVICE)),
+        ),
+    ]
+}
+
+pub(super) fn runs(session: &mut Session<'_>) -> Result<Vec<Run>, HollowError> {
+    let mut collector = Collector::new(Size::Gateways);
+    let mut oldest_list = Duration::ZERO;
+    let sizes = session.choose(&GATEWAYS, &GATEWAYS_QUICK);
+    let parts = parts(session.options.quick);
+    let plans: Vec<(&Part, u32)> =
+        parts.iter().flat_map(|part| sizes.iter().map(move |gateways| (part, *gateways))).collect();
+    let planned: Vec<Planned> =
+        plans.iter().map(|(part, gateways)| plan(session.options.seed, part, *gateways)).collect();
+    let played = play_all(&planned, session.options.progress)?;
+    let meter = Meter::new(session.options.allocator);
+    for ((part, gateways), played) in plans.into_iter().zip(&played) {
+        note_counts(&mut collector, part, gateways, &played.outcome);
+        note_work(&mut collector, part, gateways, &played.recording.replay(meter)?);
+        if part.situation == Situation::RegionsApart {
+            oldest_list = oldest_list.max(played.outcome.list.oldest);
+        }
+    }
+    for gateways in sizes {
+        note_bad_configuration(session, &mut collector, gateways)?;
+    }
+    let setting = setting(session, oldest_list);
+    Ok(vec![session.run("hollow-situations", setting, collector)])
+}
+
+fn setting(session: &Session<'_>, oldest_list: Duration) -> String {
+    let (rate, apart) =
+        if session.options.quick { (DESIGN_RATE_QUICK, APART_QUICK) } else { (DESIGN_RATE, APART) };
+    format!(
+        "a fleet as in hollow-gateways, its name server in zone 0; calls a second at each gateway, held 2 s: {rate} on the \
+         ordinary day, {APART_RATE} while regions are apart, {FAULT_RATE} while anything else breaks, which begins after {} s; \
+         a rack is a fifth of a zone; a zone is away {} s; regions are apart {} s, and at their join the oldest list in use \
+         is {:.1} s old; of faults the busiest member is told, in its busiest second and from the start of what is measured to \
+         the end, and the most that one held at any whole second; processor time is that of gateway {WATCHED}, which is of the \
+         service that is hit and stays or comes back: its inputs are played again alone",
+        BEFORE.as_secs(),
+        ZONE_AWAY.as_secs(),
+        apart.as_secs(),
+        oldest_list.as_secs_f64()
+    )
+}
+
+fn plan(seed: u64, part: &Part, gateways: u32) -> Planned {
+    let scenario = Scenario::fleet(seed, gateways)
+        .measuring(WARM_UP, part.measured)
+        .calling(part.rate)
+        .suffering(part.faults.clone());
+    let name = format!("hollow-situations, {} at {gateways}", part.name);
+    Planned { name, scenario, watched: Some(WATCHED) }
+}
+
+impl Part {
+    /// Whether a second is like any other.
+    fn is_steady(&self) -> bool {
+        matches!(self.situation, Situation::Quiet | Situation::OrdinaryDay)
+    }
+}
+
+/// What goes over the network and what is held, of all members.
+fn note_counts(collector: &mut Collector, part: &Part, gateways: u32, outcome: &Outcome) {
+    for role in ROLES {
+        let spot = Spot { role, situation: part.situation, size: f64::from(gateways) };
+        let of_role = outcome.role(role);
+        for quantity in COUNTED {
+            note_flow(collector, spot, part, quantity, &of_role);
+        }
+        for quantity in [Quantity::Connections, Quantity::StateEntries] {
+            let held = if part.is_steady() { of_role.held(quantity) } else { of_role.most_held(quantity) };
+            collector.put(spot, Cause::All, quantity, Per::Held, held);
+        }
+    }
+}
+
+/// What it costs the gateway that was watched.
+fn note_work(collector: &mut Collector, part: &Part, gateways: u32, replayed: &Replayed) {
+    let roles = [(Role::GatewayCalls, &replayed.calls), (Role::GatewayControl, &replayed.control)];
+    for (role, of_role) in roles {
+        let spot = Spot { role, situation: part.situation, size: f64::from(gateways) };
+        note_flow(collector, spot, part, Quantity::ProcessorMicroseconds, of_role);
+    }
+}
+
+fn note_flow(collector: &mut Collector, spot: Spot, part: &Part, quantity: Quantity, of_role: &RoleOutcome) {
+    if part.is_steady() {
+        let seconds = part.measured.as_secs_f64();
+        let mean = of_role.mean(Cause::All, quantity).map(|whole| whole / seconds);
+        collector.put(spot, Cause::All, quantity, Per::Second, mean);
+    } else {
+        let second = of_role.busiest_second(Cause::All, quantity);
+        collector.put(spot, Cause::All, quantity, Per::PeakSecond, second);
+        let whole = of_role.busiest(Cause::All, quantity);
+        collector.put(spot, Cause::All, quantity, Per::Situation, whole);
+    }
+}
+
+/// All gateways of a fleet are told to read a bad configuration: what one of them bears, whatever the fleet's size.
+fn note_bad_configuration(
+    session: &mut Session<'_>,
+    collector: &mut Collector,
+    gateways: u32,
+) -> Result<(), HollowError> {
+    (session.options.progress)(&format!("hollow-situations, a bad configuration at {gateways}"));
+    let (seed, allocator) = (session.options.seed, session.options.allocator);
+    let reading = configuration::read_damaged(seed, CONFIGURED_SWITCHES, allocator)?;
+    let spot = Spot {
+        role: Role::GatewayControl,
+        situation: Situation::BadConfiguration,
+        size: f64::from(gateways),
+    };
+    let bytes = reading.bytes as f64;
+    let figures =
+        [(Quantity::BytesIn, bytes), (Quantity::ProcessorMicroseconds, reading.processor_microseconds)];
+    for (quantity, value) in figures {
+        collector.put(spot, Cause::Configuration, quantity, Per::Situation, Some(value));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/src/page/growth.rs
@@ -0,0 +1,85 @@
+//! Which series are linear in which size, which grow by a power, and from where it hurts.
+
+use super::numbers::{amount, percent, significant};
+use super::roles;
+use super::rows::Row;
+use super::table::{NOTHING, Table};
+use super::words;
+use crate::figures::Size;
+use crate::fit::{Curve, Fit, Growth};
+
+/// Counts over all rows, and those of the shown ones that grow by a power.
+pub(super) fn section(rows: &[Row<'_>], shown: &[Row<'_>]) -> String {
+    format!("## Growth\n\n{}\n{}", counts(rows), by_powers(shown))
+}
+
+/// How many series grow how, by size.
+fn counts(rows: &[Row<'_>]) -> String {
+    let mut table = Table::new(["size", "none seen", "linear", "slower than linear", "by a power", "no fit"]);
+    for size in words::SIZES {
+        let of_size: Vec<&Row<'_>> = rows.iter().filter(|row| row.size == size).collect();
+        table.push(count_cells(size, &of_size));
+    }
+    table.to_string()
+}
+
+fn count_cells(size: Size, rows: &[&Row<'_>]) -> [String; 6] {
+    let count = |is_such: fn(&Growth) -> bool| {
+        let grows = |row: &&&Row<'_>| row.fit.as_ref().is_ok_and(|fit| is_such(&fit.growth));
+        rows.iter().filter(grows).count().to_string()
+    };
+    [
+        words::size(size).to_owned(),
+        count(|growth| matches!(growth, Growth::NoneSeen(_))),
+        count(|growth| matches!(growth, Growth::Linear)),
+        count(|growth| matches!(growth, Growth::Slower)),
+        count(|growth| matches!(growth, Growth::Faster(_))),
+        rows.iter().filter(|row| row.fit.is_err()).count().to_string(),
+    ]
+}
+
+fn by_powers(rows: &[Row<'_>]) -> String {
+    let mut table = Table::new([
+        "role",
+        "what",
+        "situation",
+        "size",
+        "growth",
+        "exponent",
+        "bend",
+        "residual of the line",
+        "residual of the power",
+        "hurts from",
+        "value there",
+        "run",
+    ]);
+    for row in rows {
+        if let Ok(fit) = &row.fit
+            && let Growth::Faster(curve) = &fit.growth
+        {
+            table.push(power_cells(row, fit, curve));
+        }
+    }
+    if table.is_empty() {
+        return "No series grows by a power above 1.\n".to_owned();
+    }
+    format!("The series that grow by a power:\n\n{table}")
+}
+
+fn power_cells(row: &Row<'_>, fit: &Fit, curve: &Curve) -> [String; 12] {
+    let value_there = |size| amount(row.measure, row.per, curve.at(size).max(0.0));
+    [
+        words::role(row.role).to_owned(),
+        words::what(row.measure, row.cause, row.per),
+        words::situation(row.situation).to_owned(),
+        words::size(row.size).to_owned(),
+        roles::growth(&row.fit),
+        fit.exponent.map_or(NOTHING.to_owned(), |exponent| format!("{exponent:.2}")),
+        percent(fit.bend),
+        percent(fit.line.residual.relative_rms),
+        percent(curve.residual.relative_rms),
+        curve.hurts_from.map_or(NOTHING.to_owned(), significant),
+        curve.hurts_from.map_or(NOTHING.to_owned(), value_there),
+        roles::cited_run(row),
+    ]
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/src/process/lines.rs
@@ -0,0 +1,65 @@
+//! Lines as the stand-ins see them on their sockets, and counts of them.
+
+use fawnrouter_jsonl::{Decoder, Fault, Message};
+
+use crate::hollow::{ByVerb, Volume};
+
+/// The types of messages that are tests, their answers and told states; all others concern calls.
+const TEST_TYPES: [&str; 3] = ["ECHO", "ECHOED", "LOAD"];
+
+/// Cuts a stream into messages and tells the length of each line.
+#[derive(Debug, Default)]
+pub struct LineReader {
+    decoder: Decoder,
+    /// Bytes since the last message.
+    length: usize,
+}
+
+impl LineReader {
+    /// Adds bytes; `take` gets each message that is whole by now, with the bytes of its line.
+    ///
+    /// # Errors
+    /// Where a line is no message. Nothing after it can be read.
+    pub fn push(&mut self, bytes: &[u8], mut take: impl FnMut(Message, usize)) -> Result<(), Fault> {
+        for piece in bytes.split_inclusive(|byte| *byte == b'\n') {
+            self.decoder.push(piece);
+            self.length += piece.len();
+            if let Some(message) = self.decoder.next_message()? {
+                take(message, std::mem::take(&mut self.length));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What was counted since an earlier reading of the same counter.
+#[must_use]
+pub fn counted_since(earlier: &ByVerb, now: &ByVerb) -> ByVerb {
+    let since = |(verb, volume): (&&'static str, &Volume)| {
+        let before = earlier.0.get(verb).copied().unwrap_or_default();
+        (*verb, volume_since(before, *volume))
+    };
+    ByVerb(now.0.iter().map(since).collect())
+}
+
+/// The same of one volume.
+#[must_use]
+pub fn volume_since(earlier: Volume, now: Volume) -> Volume {
+    Volume {
+        messages: now.messages.saturating_sub(earlier.messages),
+        bytes: now.bytes.saturating_sub(earlier.bytes),
+    }
+}
+
+/// What set-ups, answers and releases come to.
+#[must_use]
+pub fn volume_of_calls(lines: &ByVerb) -> Volume {
+    volume_since(volume_of_tests(lines), lines.all())
+}
+
+/// What tests, their answers and told states come to.
+#[must_use]
+pub fn volume_of_tests(lines: &ByVerb) -> Volume {
+    let tests = lines.0.iter().filter(|(verb, _)| TEST_TYPES.contains(verb));
+    ByVerb(tests.map(|(verb, volume)| (*verb, *volume)).collect()).all()
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/tests/fit.rs
@@ -0,0 +1,234 @@
+//! Fits of series whose law is known.
+
+use fawnrouter_capacity::figures::Point;
+use fawnrouter_capacity::fit::{
+    Curve, Estimate, Fit, FitError, Growth, LINE_HOLDS_RELATIVE_RMS, Level, Line, MIN_POINTS, Origin, Power,
+    estimate,
+};
+
+const SIZES: [f64; 6] = [25.0, 66.0, 132.0, 330.0, 660.0, 1_320.0];
+
+fn series(sizes: &[f64], law: impl Fn(f64) -> f64) -> Vec<Point> {
+    sizes.iter().map(|size| Point { size: *size, value: law(*size) }).collect()
+}
+
+fn fit_of(law: impl Fn(f64) -> f64) -> Fit {
+    Fit::of(&series(&SIZES, law)).expect("a series that has a fit")
+}
+
+#[track_caller]
+fn assert_near(found: f64, expected: f64, tolerance: f64) {
+    assert!((found - expected).abs() <= tolerance, "{found} is not within {tolerance} of {expected}");
+}
+
+#[track_caller]
+fn curve_of(fit: &Fit) -> Curve {
+    match fit.growth {
+        Growth::Faster(curve) => curve,
+        other => panic!("expected growth faster than linear, found {other:?}"),
+    }
+}
+
+#[track_caller]
+fn level_of(fit: &Fit) -> Level {
+    match fit.growth {
+        Growth::NoneSeen(level) => level,
+        other => panic!("expected no growth, found {other:?}"),
+    }
+}
+
+/// A level and what each point lies above it.
+fn scattered(level: f64, above: &[f64; 6]) -> Fit {
+    let point = |(size, above): (&f64, &f64)| Point { size: *size, value: level + above };
+    let points: Vec<Point> = SIZES.iter().zip(above).map(point).collect();
+    Fit::of(&points).expect("six points")
+}
+
+#[test]
+fn a_line_is_found_exactly() {
+    let fit = fit_of(|size| 3.0 + 0.25 * size);
+    assert_near(fit.line.base, 3.0, 1e-9);
+    assert_near(fit.line.slope, 0.25, 1e-12);
+    assert_near(fit.line.residual.relative_rms, 0.0, 1e-12);
+    assert_near(fit.line.residual.r_squared, 1.0, 1e-12);
+    assert_near(fit.bend, 0.0, 1e-9);
+    assert_eq!(fit.growth, Growth::Linear);
+}
+
+#[test]
+fn the_line_through_scattered_points_is_that_of_least_squares() {
+    // By hand: means 2.5 and 5, slope (-1.5 x -3 + -0.5 x 1 + 0.5 x -1 + 1.5 x 3) / 5 = 1.6, base 5 - 2.5 x 1.6 = 1.
+    let values = [2.0, 6.0, 4.0, 8.0];
+    let points: Vec<Point> =
+        values.iter().zip(1..).map(|(value, size)| Point { size: f64::from(size), value: *value }).collect();
+    let Line { base, slope, residual } = Fit::of(&points).expect("four points").line;
+    assert_near(slope, 1.6, 1e-12);
+    assert_near(base, 1.0, 1e-12);
+    // What is left: -0.6, 1.8, -1.8, 0.6; squares 7.2 of 20; root mean square 1.3416 over a mean of 5.
+    assert_near(residual.r_squared, 1.0 - 7.2 / 20.0, 1e-12);
+    assert_near(residual.relative_rms, 1.8_f64.sqrt() / 5.0, 1e-12);
+}
+
+#[test]
+fn a_series_that_does_not_vary_has_no_slope_and_no_growth() {
+    let fit = fit_of(|_| 7.1);
+    assert_eq!(fit.line.slope, 0.0);
+    assert_near(fit.line.base, 7.1, 1e-9);
+    assert_eq!(fit.line.residual.r_squared, 1.0);
+    assert_near(level_of(&fit).mean, 7.1, 1e-9);
+    assert_near(fit.at(2_640.0), 7.1, 1e-9);
+    let zero = fit_of(|_| 0.0);
+    assert_eq!((zero.line.base, zero.line.slope, zero.line.residual.relative_rms), (0.0, 0.0, 0.0));
+    assert_eq!(zero.exponent, None);
+}
+
+#[test]
+fn each_power_is_found_with_its_base_and_factor() {
+    for power in [Power::OneAndAHalf, Power::Two, Power::Three] {
+        let fit = fit_of(|size| 100.0 + 0.02 * power.of(size));
+        let curve = curve_of(&fit);
+        assert_eq!(curve.power, power);
+        assert_near(curve.base, 100.0, 1e-6);
+        assert_near(curve.factor, 0.02, 1e-12);
+        assert_near(fit.residual().relative_rms, 0.0, 1e-9);
+        assert!(fit.line.residual.relative_rms > LINE_HOLDS_RELATIVE_RMS);
+        assert_near(fit.at(2_640.0), 100.0 + 0.02 * power.of(2_640.0), 1e-3);
+    }
+}
+
+#[test]
+fn the_exponent_is_the_slope_between_logarithms() {
+    let exponent = |law: fn(f64) -> f64| fit_of(law).exponent.expect("points above 0");
+    assert_near(exponent(|size| 5.0 * size), 1.0, 1e-12);
+    assert_near(exponent(|size| 0.03 * size * size), 2.0, 1e-12);
+    assert_near(exponent(|size| 0.03 * size.powf(1.3)), 1.3, 1e-12);
+    assert_near(exponent(|_| 4.0), 0.0, 1e-12);
+}
+
+#[test]
+fn it_hurts_from_where_the_power_exceeds_the_linear_part() {
+    let square = curve_of(&fit_of(|size| 10.0 + 2.0 * size + 0.01 * size * size));
+    assert_eq!(square.power, Power::Two);
+    assert_near(square.hurts_from.expect("a crossing"), 200.0, 1e-6);
+    let cube = curve_of(&fit_of(|size| 10.0 + 0.9 * size + 1e-5 * size * size * size));
+    assert_eq!(cube.power, Power::Three);
+    assert_near(cube.hurts_from.expect("a crossing"), 300.0, 1e-6);
+}
+
+#[test]
+fn a_power_without_a_linear_part_hurts_from_the_smallest_size_on() {
+    let curve = curve_of(&fit_of(|size| 50.0 - 0.1 * size + 0.03 * size * size));
+    assert_eq!(curve.hurts_from, Some(SIZES[0]));
+}
+
+#[test]
+fn noise_of_two_percent_makes_no_line_a_power() {
+    let signs = [1.0, -1.0, 1.0, 1.0, -1.0, 1.0];
+    let mut noise = signs.iter();
+    let noisy: Vec<Point> = series(&SIZES, |size| 3.0 + 0.25 * size)
+        .into_iter()
+        .map(|point| Point {
+            value: point.value * (1.0 + 0.02 * noise.next().expect("a sign each")),
+            ..point
+        })
+        .collect();
+    let fit = Fit::of(&noisy).expect("a fit");
+    assert_eq!(fit.growth, Growth::Linear, "bend {}", fit.bend);
+}
+
+#[test]
+fn a_line_that_begins_below_zero_is_linear_whatever_its_exponent() {
+    let fit = fit_of(|size| size - 20.0);
+    assert!(fit.exponent.expect("points above 0") > 1.15);
+    assert_eq!(fit.growth, Growth::Linear);
+}
+
+#[test]
+fn growth_that_bends_downwards_is_slower_and_so_is_one_that_falls_and_flattens() {
+    assert_eq!(fit_of(f64::sqrt).growth, Growth::Slower);
+    assert_eq!(fit_of(|size| 40.0 - size.sqrt()).growth, Growth::Slower);
+}
+
+#[test]
+fn a_series_that_only_scatters_does_not_grow() {
+    // Alternating: the line explains next to nothing, and the best power little more.
+    let fit = scattered(100.0, &[-7.0, 6.0, -8.0, 7.0, 5.0, -6.0]);
+    let level = level_of(&fit);
+    assert_near(level.mean, 99.5, 1e-9);
+    assert_eq!(fit.residual(), level.residual);
+    assert_near(level.residual.r_squared, 0.0, 1e-12);
+    assert_near(fit.at(2_640.0), 99.5, 1e-9);
+}
+
+#[test]
+fn a_last_point_that_is_a_little_high_makes_no_power() {
+    let fit = scattered(100.0, &[0.0, 0.0, 0.0, 0.0, 0.0, 5.0]);
+    assert!(!matches!(fit.growth, Growth::Faster(_)), "{:?}", fit.growth);
+}
+
+#[test]
+fn a_power_that_explains_little_more_than_the_line_is_not_taken() {
+    // Bends upwards and scatters by as much as it bends.
+    let points = [(2.0, 6.0), (5.0, 11.0), (10.0, 34.0), (20.0, 59.0)];
+    let points: Vec<Point> =
+        points.iter().map(|(size, value)| Point { size: *size, value: *value }).collect();
+    let fit = Fit::of(&points).expect("four points");
+    assert!(fit.exponent.expect("points above 0") > 1.0);
+    assert_eq!(fit.growth, Growth::Linear);
+}
+
+#[test]
+fn fewer_than_four_points_have_no_fit() {
+    assert_eq!(MIN_POINTS, 4);
+    let three = series(&SIZES[..3], |size| size);
+    assert_eq!(Fit::of(&three), Err(FitError::TooFewPoints { found: 3 }));
+    assert_eq!(Fit::of(&[]), Err(FitError::TooFewPoints { found: 0 }));
+    assert!(Fit::of(&series(&SIZES[..4], |size| size)).is_ok());
+}
+
+#[test]
+fn points_that_do_not_rise_or_are_no_numbers_have_no_fit() {
+    let twice = series(&[1.0, 2.0, 2.0, 3.0], |size| size);
+    assert_eq!(Fit::of(&twice), Err(FitError::SizesDoNotRise { position: 3 }));
+    let falling = series(&[4.0, 3.0, 2.0, 1.0], |size| size);
+    assert_eq!(Fit::of(&falling), Err(FitError::SizesDoNotRise { position: 2 }));
+    let not_a_number = series(&SIZES, |size| if size == 132.0 { f64::NAN } else { size });
+    assert_eq!(Fit::of(&not_a_number), Err(FitError::BadPoint { position: 3 }));
+    let negative = series(&[-1.0, 2.0, 3.0, 4.0], |size| size);
+    assert_eq!(Fit::of(&negative), Err(FitError::BadPoint { position: 1 }));
+}
+
+#[test]
+fn an_estimate_says_whether_its_size_was_measured_or_lies_within_the_range() {
+    // Of no law: neither within the range nor at a point is the fit asked.
+    let points = series(&SIZES, |size| if size == 660.0 { 1_000.0 } else { 2.0 * size });
+    let fit = Fit::of(&points).expect("a fit");
+    let at = |size| estimate(&points, Ok(&fit), size).expect("an estimate");
+    assert_eq!(at(660.0), Estimate { value: 1_000.0, origin: Origin::Measured });
+    assert_eq!(at(661.0), Estimate { value: 1_000.0, origin: Origin::Measured });
+    assert_eq!(at(99.0), Estimate { value: 198.0, origin: Origin::WithinRange });
+    assert_eq!(at(2_640.0), Estimate { value: fit.at(2_640.0), origin: Origin::BeyondRange });
+    assert!(fit.at(1.0) < 0.0);
+    assert_eq!(at(1.0), Estimate { value: 0.0, origin: Origin::BeyondRange });
+}
+
+#[test]
+fn a_series_without_a_fit_has_estimates_within_its_range_only() {
+    let points = series(&[8.0, 30.0, 60.0], |size| 10.0 * size);
+    let error = Fit::of(&points).expect_err("three points");
+    let value = |size| estimate(&points, Err(error), size).map(|estimate| estimate.value);
+    assert_eq!(value(30.0), Some(300.0));
+    assert_eq!(value(45.0), Some(450.0));
+    assert_eq!(value(660.0), None);
+}
+
+#[test]
+fn an_estimate_is_below_zero_only_where_a_point_is() {
+    let at_2_640 = |law: fn(f64) -> f64| {
+        let points = series(&SIZES, law);
+        let fit = Fit::of(&points).expect("a fit");
+        estimate(&points, Ok(&fit), 2_640.0).expect("an estimate").value
+    };
+    assert_eq!(at_2_640(|size| 2_000.0 - size), 0.0);
+    assert_near(at_2_640(|size| 1_000.0 - size), -1_640.0, 1e-6);
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/tests/hollow.rs
@@ -0,0 +1,592 @@
+//! The hollow rig: counts against arithmetic, bytes against the codecs, the same under the same seed.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use fawnrouter_capacity::figures::{Cause, Quantity, Role, Run, Series, Situation};
+use fawnrouter_capacity::hollow::{CAUSES, HollowError, HollowOptions, Outcome, Scenario, measure, play};
+use fawnrouter_capacity::plan::{
+    Fault, FaultPlan, PlannedCall, TrafficPlan, answer_of_switch, release_of_switch,
+};
+use fawnrouter_capacity::platform::{GatewayPlace, SwitchRow, gateway_configuration, list_answer};
+use fawnrouter_dns::{Name, Type, query, read_answer};
+use fawnrouter_jsonl::{Message, Tag, Verb};
+use fawnrouter_node::fawnrouter::ServerState;
+use fawnrouter_node::{Boot, LIST_NAME, Pool};
+
+const SEED: u64 = 42;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn row(number: u32) -> SwitchRow {
+    SwitchRow {
+        id: format!("s-{number:08x}"),
+        zone: "zone-0".to_owned(),
+        cell: number,
+        address: SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 5060)),
+        draining: number % 7 == 3,
+        started_unix_ms: if number % 5 == 1 { 1_800_000_000_000 } else { 0 },
+    }
+}
+
+fn question(id: u16) -> (Name, Vec<u8>) {
+    let name: Name = LIST_NAME.parse().unwrap();
+    let question = query(id, &name, Type::Srv);
+    (name, question)
+}
+
+fn bytes_of(message: &Message) -> u64 {
+    let mut line = Vec::new();
+    message.write(&mut line);
+    line.len() as u64
+}
+
+/// All that a seed decides.
+fn counts(outcome: &Outcome) -> Vec<String> {
+    let mut counts = vec![
+        format!("{:?}", outcome.calls),
+        format!("{:?} {:?}", outcome.to_switches, outcome.from_switches),
+        format!("{:?} {:?}", outcome.to_callers, outcome.from_callers),
+        format!("{} {}", outcome.list.questions, outcome.list.answer_bytes),
+    ];
+    let exact = [
+        Quantity::MessagesIn,
+        Quantity::MessagesOut,
+        Quantity::BytesIn,
+        Quantity::BytesOut,
+        Quantity::Connections,
+    ];
+    for (role, member) in &outcome.roles {
+        for cause in CAUSES.into_iter().chain([Cause::All]) {
+            for quantity in exact {
+                let peak = member.busiest_second(cause, quantity);
+                let (mean, most) = (member.mean(cause, quantity), member.busiest(cause, quantity));
+                counts.push(format!("{role:?} {cause:?} {quantity:?} {mean:?} {most:?} {peak:?}"));
+            }
+        }
+        counts.push(format!("{role:?} {:?}", member.held(Quantity::StateEntries)));
+    }
+    counts
+}
+
+/// A fleet of two services, calls, and a zone that goes and comes back.
+fn eventful(seed: u64) -> Scenario {
+    let zone = FaultPlan::gone_and_back(seconds(3), seconds(3), Fault::ZoneGone(1), Fault::ZoneBack(1));
+    Scenario::fleet(seed, 30).measuring(seconds(1), seconds(8)).calling(4.0).suffering(zone)
+}
+
+#[test]
+fn the_same_seed_gives_the_same_counts_and_another_gives_others() {
+    let first = counts(&play(&eventful(SEED)).unwrap());
+    assert_eq!(first, counts(&play(&eventful(SEED)).unwrap()));
+    assert_ne!(first, counts(&play(&eventful(SEED + 1)).unwrap()));
+}
+
+// ---- The platform's bytes -------------------------------------------------------------------------------------
+#[test]
+fn a_list_of_any_length_reads_as_it_was_written() {
+    for count in [1, 25, 132, 660] {
+        let rows: Vec<SwitchRow> = (0..count).map(row).collect();
+        let (name, question) = question(0x1234);
+        let datagram = list_answer(&question, 77, &rows);
+        let answer = read_answer(&datagram, 0x1234, &name, Type::Srv).unwrap();
+        let pool = Pool::answer(&answer).unwrap();
+        assert_eq!(pool.serial, 77);
+        assert_eq!(pool.listed.len(), rows.len());
+        for row in &rows {
+            let listed = &pool.listed[&row.id];
+            assert_eq!((listed.zone.as_str(), listed.cell.0), (row.zone.as_str(), row.cell));
+            assert_eq!(listed.address, row.address);
+            assert_eq!(listed.state == ServerState::Draining, row.draining);
+            let started = listed.started.map_or(0, |time| time.0.as_millis());
+            assert_eq!(started, u128::from(row.started_unix_ms));
+        }
+    }
+}
+
+#[test]
+fn names_of_a_list_are_written_once_as_far_as_pointers_reach() {
+    let length = |count: u32| {
+        let rows: Vec<SwitchRow> =
+            (0..count).map(row).map(|row| SwitchRow { started_unix_ms: 0, ..row }).collect();
+        list_answer(&question(1).1, 1, &rows).len()
+    };
+    // SRV: a pointer, 10 bytes, 6 bytes, the id and a pointer. A: a pointer, 10 bytes, 4 bytes. TXT: a pointer, 10
+    // bytes, "kind=std" "cell=N" "started=0". Each text and label has its length before it.
+    let (pointer, fixed, id, texts) = (2, 10, 11, 9 + 7 + 10);
+    let a_row = (pointer + fixed + 6 + id + pointer) + (pointer + fixed + 4) + (pointer + fixed + texts);
+    assert_eq!(length(3) - length(2), a_row);
+    // A host's name beyond the 14 bits of a pointer is written out up to what lies below them.
+    assert!(length(660) - length(659) > a_row);
+}
+
+#[test]
+fn what_is_no_question_gets_no_answer() {
+    assert!(list_answer(&[], 1, &[row(0)]).is_empty());
+    assert!(list_answer(&[0; 12], 1, &[row(0)]).is_empty());
+    // A name that runs over the end, as only a stranger writes it.
+    let cut = [&[0; 12][..], &[60, b'a', b'b']].concat();
+    assert!(!list_answer(&cut, 1, &[row(0)]).is_empty());
+}
+
+#[test]
+fn a_configuration_is_taken_as_it_was_written() {
+    let rows: Vec<SwitchRow> = (0..25).map(row).collect();
+    let place = GatewayPlace {
+        name: "g".to_owned(),
+        listen: "127.0.0.1:5060".parse().unwrap(),
+        nameserver: "127.0.0.1:5300".parse().unwrap(),
+        seed: u64::MAX,
+        gateways: 26,
+        number: 25,
+        descriptors: 512,
+    };
+    let text = gateway_configuration(&place, 9, &rows).to_string();
+    let boot = Boot::read(text.as_bytes()).unwrap();
+    assert_eq!((boot.name, boot.listen, boot.nameserver), (place.name, place.listen, place.nameserver));
+    assert_eq!((boot.seed, boot.descriptors), (place.seed, 512));
+    assert_eq!((boot.settings.gateways, boot.settings.me.0), (26, 25));
+    let (name, question) = question(1);
+    let answer = read_answer(&list_answer(&question, 9, &rows), 1, &name, Type::Srv).unwrap();
+    assert_eq!(boot.known, Pool::answer(&answer).unwrap(), "the file and the name server tell the same");
+}
+
+// ---- The plan -------------------------------------------------------------------------------------------------
+fn traffic(gateways: u32) -> TrafficPlan {
+    TrafficPlan {
+        seed: SEED,
+        gateways,
+        calls_per_second: 50.0,
+        seconds: 100,
+        hold: seconds(1),
+        answer: Duration::from_millis(20),
+    }
+}
+
+#[test]
+fn calls_come_by_chance_at_their_rate_with_ids_of_their_own() {
+    let calls = traffic(3).calls();
+    assert!(calls.is_sorted_by_key(|call| call.at));
+    let tags: BTreeSet<u64> = calls.iter().map(|call| call.tag).collect();
+    assert_eq!(tags.len(), calls.len());
+    assert!(calls.iter().all(|call| call.at < seconds(100) && call.gateway < 3));
+    for gateway in 0..3 {
+        let times: Vec<Duration> =
+            calls.iter().filter(|call| call.gateway == gateway).map(|call| call.at).collect();
+        // 5,000 calls by chance: four standard deviations are 283.
+        assert!((4717..=5283).contains(&times.len()), "{}", times.len());
+        // Of exponential gaps the share e^-1 is longer than the mean one.
+        let longer = times.windows(2).filter(|pair| pair[1] - pair[0] > Duration::from_millis(20)).count();
+        let share = longer as f64 / times.len() as f64;
+        assert!((share - (-1.0f64).exp()).abs() < 0.03, "{share}");
+    }
+}
+
+#[test]
+fn a_gateways_calls_come_when_they_do_however_many_others_there_are() {
+    let times = |gateways| -> Vec<Duration> {
+        let calls = traffic(gateways).calls();
+        calls.iter().filter(|call| call.gateway == 1).map(|call| call.at).collect()
+    };
+    assert_eq!(times(2), times(5));
+}
+
+#[test]
+fn restarts_are_drawn_within_their_span() {
+    let plan = FaultPlan::gateway_restarts(SEED, 10, 64, seconds(100));
+    assert_eq!(plan, FaultPlan::gateway_restarts(SEED, 10, 64, seconds(100)));
+    assert_eq!(plan.faults.len(), 64);
+    assert!(plan.faults.is_sorted_by_key(|planned| planned.at));
+    assert!(plan.faults.iter().all(|planned| planned.at < seconds(100)));
+    assert!(plan.faults.iter().all(|planned| matches!(planned.fault, Fault::GatewayRestart(0..10))));
+}
+
+// ---- Counts against arithmetic --------------------------------------------------------------------------------
+#[test]
+fn each_gateway_asks_four_times_a_second_and_reads_the_codecs_bytes() {
+    let outcome = play(&Scenario::one_service(SEED, 3, 5).measuring(seconds(1), seconds(4))).unwrap();
+    let rows: Vec<SwitchRow> =
+        (0..5).map(|number| SwitchRow { draining: false, started_unix_ms: 0, ..row(number) }).collect();
+    let (_, question) = question(1);
+    let answer = list_answer(&question, 1, &rows).len() as u64;
+    assert_eq!(outcome.list.questions, 4 * 4 * 3);
+    assert_eq!(outcome.list.answers, 4 * 4 * 3);
+    assert_eq!(outcome.list.question_bytes, 4 * 4 * 3 * question.len() as u64);
+    assert_eq!(outcome.list.answer_bytes, 4 * 4 * 3 * answer);
+    assert_eq!((outcome.list.lost, outcome.list.unreadable, outcome.list.changed), (0, 0, 0));
+    let bytes_in = outcome.a_second(Role::GatewayControl, Cause::List, Quantity::BytesIn);
+    assert_eq!(bytes_in, Some(4.0 * answer as f64));
+    let source = outcome.role(Role::ListSource);
+    assert_eq!(source.total.of(Cause::List).messages_in, 4 * 4 * 3);
+    assert_eq!(source.total.of(Cause::List).bytes_out, 4 * 4 * 3 * answer);
+    assert_eq!(source.held(Quantity::StateEntries), Some(5.0));
+}
+
+#[test]
+fn each_call_is_set_up_once_answered_once_and_released_once() {
+    let mut scenario = Scenario::one_service(SEED, 3, 4).measuring(Duration::ZERO, seconds(8)).calling(20.0);
+    scenario.traffic.seconds = 4;
+    let calls = scenario.traffic.calls();
+    let planned = calls.len() as u64;
+    let outcome = play(&scenario).unwrap();
+    assert_eq!((outcome.calls.planned, outcome.measured_calls), (planned, planned));
+    assert_eq!((outcome.calls.stood, outcome.calls.released), (planned, planned));
+    assert_eq!((outcome.calls.answered_twice, outcome.calls.set_up_twice), (0, 0));
+    assert_eq!((outcome.calls.stray, outcome.calls.unreadable), (0, 0));
+    assert_eq!(outcome.from_callers.messages(Verb::Start), planned);
+    assert_eq!(outcome.to_switches.messages(Verb::Start), planned);
+    assert_eq!(outcome.from_switches.messages(Verb::Started), planned);
+    assert_eq!(outcome.to_callers.messages(Verb::Started), planned);
+    assert_eq!(outcome.from_switches.messages(Verb::Finish), planned);
+    assert_eq!(outcome.to_callers.messages(Verb::Finish), planned);
+    assert_eq!(outcome.to_switches.messages(Verb::Finished), planned);
+
+    let set_ups: u64 = calls.iter().map(|call| bytes_of(&call.set_up(4))).sum();
+    assert_eq!(outcome.from_callers.all().bytes, set_ups);
+    let answers = planned * bytes_of(&answer_of_switch(1));
+    let releases = planned * bytes_of(&release_of_switch(1));
+    let confirmed = planned * bytes_of(&Message::new(Verb::Finished, Tag(1)));
+    assert_eq!(outcome.to_callers.all().bytes, answers + releases);
+    let calls = |role| outcome.role(role).total.of(Cause::Calls);
+    let switches = calls(Role::CoreSwitch);
+    assert_eq!(switches.bytes_out, answers + releases);
+    assert_eq!(switches.messages_in, 2 * planned);
+    assert_eq!(switches.bytes_in, outcome.to_switches.all().bytes - tests(&outcome));
+    assert!(switches.bytes_in > confirmed);
+    let gateways = calls(Role::GatewayCalls);
+    assert_eq!((gateways.messages_in, gateways.messages_out), (3 * planned, 4 * planned));
+    assert_eq!(gateways.bytes_in, set_ups + switches.bytes_out);
+    assert_eq!(gateways.bytes_out, answers + releases + switches.bytes_in);
+}
+
+/// Bytes of tests that gateways sent.
+fn tests(outcome: &Outcome) -> u64 {
+    let test = Message::new(Verb::Echo, Tag(1)).cause(0);
+    outcome.to_switches.messages(Verb::Echo) * bytes_of(&test)
+}
+
+#[test]
+fn a_core_switch_holds_a_connection_of_each_gateway_that_may_call_it() {
+    for gateways in [1, 4, 16] {
+        let outcome = play(&Scenario::one_service(SEED, gateways, 3)).unwrap();
+        let held = outcome.role(Role::CoreSwitch).held(Quantity::Connections);
+        assert_eq!(held, Some(f64::from(gateways)));
+        let held = outcome.role(Role::GatewayCalls).held(Quantity::Connections);
+        assert_eq!(held, Some(3.0));
+    }
+}
+
+#[test]
+fn gateways_see_the_core_switches_of_their_service_and_no_others() {
+    let scenario = Scenario::fleet(SEED, 660);
+    assert_eq!((scenario.services, scenario.zones, scenario.regions), (26, 6, 3));
+    for service in 0..26 {
+        assert!((25..=26).contains(&scenario.switches_seen(service)));
+    }
+    for zone in 0..6 {
+        let there = (0..660).filter(|number| scenario.gateway_place(*number).zone == zone).count();
+        assert_eq!(there, 110);
+    }
+    let outcome = play(&Scenario::fleet(SEED, 60).measuring(seconds(1), seconds(1))).unwrap();
+    let seen = outcome.role(Role::GatewayControl).held(Quantity::StateEntries);
+    assert_eq!(seen, Some(20.0), "60 gateways are three services");
+}
+
+#[test]
+fn core_switches_with_calls_that_say_nothing_are_tested() {
+    let scenario = Scenario::one_service(SEED, 2, 3).holding(seconds(30));
+    let mut scenario = scenario.measuring(seconds(1), seconds(20)).calling(1.0);
+    scenario.traffic.seconds = 2;
+    let outcome = play(&scenario).unwrap();
+    let tests = outcome.to_switches.messages(Verb::Echo);
+    assert!(tests > 0, "calls stand for long and nothing comes");
+    assert_eq!(outcome.from_switches.messages(Verb::Echoed), tests);
+    let probes = outcome.role(Role::CoreSwitch).total.of(Cause::Probes);
+    assert_eq!((probes.messages_in, probes.messages_out), (tests, tests));
+}
+
+#[test]
+fn a_list_that_changes_is_taken_once_by_each_gateway() {
+    let scenario = Scenario::one_service(SEED, 3, 4).measuring(seconds(2), seconds(6)).changing(seconds(1));
+    let outcome = play(&scenario).unwrap();
+    assert_eq!(outcome.list.changed, 6 * 3);
+    assert_eq!(outcome.list.answers, 6 * 4 * 3);
+}
+
+#[test]
+fn links_carry_what_crosses_their_zones_and_regions_borders() {
+    let scenario = Scenario::fleet(SEED, 12).measuring(seconds(1), seconds(5));
+    let outcome = play(&scenario).unwrap();
+    let answer = outcome.list.answer_bytes / outcome.list.answers;
+    // The name server is in zone 0 of 6, in region 0 of 3, with two gateways in each zone; each asks 20 times.
+    let zone = outcome.role(Role::ZoneLink);
+    let region = outcome.role(Role::RegionLink);
+    assert_eq!((zone.members, region.members), (6, 3));
+    assert_eq!(zone.busiest(Cause::List, Quantity::BytesOut), Some((10 * 20 * answer) as f64));
+    assert_eq!(region.busiest(Cause::List, Quantity::BytesOut), Some((8 * 20 * answer) as f64));
+    assert_eq!(zone.total.of(Cause::List).messages_in, 2 * 10 * 20);
+    assert_eq!(region.total.of(Cause::List).messages_in, 2 * 8 * 20);
+    assert_eq!(zone.total.of(Cause::All).bytes_in, zone.total.of(Cause::All).bytes_out);
+    assert_eq!(outcome.gateway_memory(), None, "no counting allocator is installed");
+}
+
+// ---- Faults ---------------------------------------------------------------------------------------------------
+fn all_accounted(outcome: &Outcome) {
+    let calls = outcome.calls;
+    assert!(calls.stood > 0);
+    assert_eq!((calls.unanswered, calls.answered_twice, calls.unreadable), (0, 0, 0), "{calls:?}");
+    let ended = calls.stood + calls.refused + calls.failed + calls.broken + calls.unplaced;
+    assert_eq!(calls.planned, ended, "{calls:?}");
+}
+
+/// In one service of so many gateways and core switches: what gateways hold is what their core switches and callers hold,
+/// and each gateway is connected to each core switch.
+fn connections_agree(outcome: &Outcome, members: u32) {
+    const CALLER_CONNECTIONS: f64 = 8.0;
+    let held = |role| outcome.role(role).held(Quantity::Connections).unwrap();
+    assert_eq!(held(Role::GatewayCalls), held(Role::CoreSwitch) + CALLER_CONNECTIONS);
+    assert!(held(Role::CoreSwitch) >= f64::from(members));
+}
+
+#[test]
+fn a_zone_that_goes_and_comes_back_leaves_no_call_without_an_answer_or_a_release() {
+    let outcome = play(&eventful(SEED).settling(seconds(15))).unwrap();
+    all_accounted(&outcome);
+    assert_eq!(outcome.calls.unplaced, 0, "the other zones' gateways take the calls");
+    assert_eq!(outcome.calls.released, outcome.calls.stood, "{:?}", outcome.calls);
+    assert_eq!(outcome.configurations.read, 5, "a sixth of 30 gateways starts again");
+}
+
+#[test]
+fn a_rack_is_a_fifth_of_a_zone_and_comes_back() {
+    let rack = FaultPlan::gone_and_back(seconds(2), seconds(5), Fault::RackGone(1), Fault::RackBack(1));
+    let scenario = Scenario::fleet(SEED, 30).measuring(seconds(1), seconds(8)).calling(2.0);
+    let outcome = play(&scenario.suffering(rack).settling(seconds(15))).unwrap();
+    all_accounted(&outcome);
+    assert_eq!(outcome.configurations.read, 1, "a zone has five of 30 gateways");
+    assert_eq!(outcome.calls.released, outcome.calls.stood, "{:?}", outcome.calls);
+}
+
+#[test]
+fn a_core_switch_that_vanishes_is_found_out_and_its_calls_are_cut() {
+    let gone = FaultPlan::none().with(seconds(4), Fault::SwitchGone(0));
+    let scenario = Scenario::one_service(SEED, 4, 4).holding(seconds(20)).measuring(seconds(1), seconds(8));
+    let outcome = play(&scenario.calling(5.0).suffering(gone).settling(seconds(30))).unwrap();
+    all_accounted(&outcome);
+    assert_eq!(outcome.calls.released, outcome.calls.stood);
+    let seen = outcome.role(Role::GatewayControl).held(Quantity::StateEntries);
+    assert_eq!(seen, Some(3.0));
+}
+
+#[test]
+fn calls_of_a_core_switch_that_is_listed_again_soon_after_it_vanished_are_cut() {
+    let faults = FaultPlan::gone_and_back(seconds(4), seconds(2), Fault::SwitchGone(0), Fault::SwitchBack(0));
+    let scenario = Scenario::one_service(SEED, 2, 3).holding(seconds(20)).measuring(seconds(1), seconds(8));
+    let outcome = play(&scenario.calling(5.0).suffering(faults).settling(seconds(30))).unwrap();
+    all_accounted(&outcome);
+    assert_eq!(
+        outcome.calls.released, outcome.calls.stood,
+        "some callers are never told: {:?}",
+        outcome.calls
+    );
+}
+
+#[test]
+fn a_core_switch_that_drains_stops_and_returns_costs_no_call() {
+    let faults =
+        FaultPlan::gone_and_back(seconds(5), seconds(2), Fault::SwitchStopped(1), Fault::SwitchBack(1))
+            .with(seconds(2), Fault::SwitchDraining(1));
+    let scenario = Scenario::one_service(SEED, 3, 3).holding(seconds(1)).measuring(seconds(1), seconds(12));
+    let outcome = play(&scenario.calling(10.0).suffering(faults).settling(seconds(5))).unwrap();
+    all_accounted(&outcome);
+    assert_eq!((outcome.calls.stood, outcome.calls.released), (outcome.calls.planned, outcome.calls.planned));
+    assert_eq!(outcome.list.changed, 3 * 3, "three changes at three gateways");
+    connections_agree(&outcome, 3);
+}
+
+#[test]
+fn a_service_whose_gateways_all_restart_at_once_is_back_and_keeps_its_standing_calls() {
+    let faults = FaultPlan::none().with(seconds(3), Fault::ServiceRestart(0));
+    let scenario = Scenario::one_service(SEED, 4, 4).holding(seconds(6)).measuring(seconds(1), seconds(10));
+    let outcome = play(&scenario.calling(5.0).suffering(faults).settling(seconds(12))).unwrap();
+    all_accounted(&outcome);
+    assert_eq!(outcome.configurations.read, 4);
+    assert_eq!(outcome.calls.released, outcome.calls.stood);
+    let told_again = outcome.from_callers.messages(Verb::Start) - outcome.measured_calls;
+    assert!(told_again > 0, "calls that stood are told to the gateways after their restart");
+    connections_agree(&outcome, 4);
+}
+
+#[test]
+fn regions_that_lose_each_other_lose_the_list_of_the_far_ones() {
+    let faults = FaultPlan::gone_and_back(seconds(2), seconds(8), Fault::RegionsApart, Fault::RegionsJoined);
+    let scenario = Scenario::fleet(SEED, 12).measuring(seconds(1), seconds(15)).calling(2.0);
+    let outcome = play(&scenario.suffering(faults).settling(seconds(20))).unwrap();
+    all_accounted(&outcome);
+    // Two of three regions ask in vain, 4 times a second for 8 s.
+    let in_vain = 8 * 4 * 8;
+    assert!((in_vain - 8..=in_vain + 8).contains(&outcome.list.lost), "{}", outcome.list.lost);
+    assert!(outcome.list.oldest >= Duration::from_millis(7000), "{:?}", outcome.list.oldest);
+    assert!(outcome.list.oldest <= Duration::from_millis(8300), "{:?}", outcome.list.oldest);
+    let region = outcome.role(Role::RegionLink);
+    assert_eq!(region.members, 3);
+    let total = region.total.of(Cause::All);
+    assert_eq!((total.messages_in, total.bytes_in), (total.messages_out, total.bytes_out));
+}
+
+#[test]
+fn scenarios_that_make_no_sense_are_refused() {
+    let good = Scenario::one_service(SEED, 2, 2);
+    let refused = |scenario: Scenario, name: &str| match play(&scenario) {
+        Err(HollowError::Scenario { field, .. }) => assert_eq!(field, name),
+        other => panic!("{name}: {other:?}"),
+    };
+    refused(Scenario { gateways: 0, ..good.clone() }, "gateways");
+    refused(Scenario { services: 3, ..good.clone() }, "services");
+    refused(Scenario { regions: 2, ..good.clone() }, "regions");
+    refused(Scenario { gateways: 3, ..good.clone() }, "traffic.gateways");
+    refused(Scenario { measured: Duration::from_millis(10), ..good }, "measured");
+}
+
+// ---- The report -----------------------------------------------------------------------------------------------
+static QUICK: LazyLock<Vec<Run>> = LazyLock::new(|| quick(None));
+
+fn quick(only: Option<Role>) -> Vec<Run> {
+    let mut ignore = |_: &str| {};
+    measure(HollowOptions { seed: SEED, quick: true, only, allocator: None, progress: &mut ignore }).unwrap()
+}
+
+#[test]
+fn every_series_of_a_quick_measurement_has_four_points_by_rising_size() {
+    let ids: BTreeSet<&str> = QUICK.iter().map(|run| run.id.as_str()).collect();
+    assert_eq!(ids.len(), QUICK.len());
+    for run in QUICK.iter() {
+        let mut keys = BTreeSet::new();
+        for series in &run.series {
+            assert!(series.points.len() >= 4, "{}: {series:?}", run.id);
+            assert!(series.points.is_sorted_by(|a, b| a.size < b.size), "{}: {series:?}", run.id);
+            assert!(series.points.iter().all(|point| point.value.is_finite()));
+            let key = (series.role, series.situation, series.cause, series.quantity, series.per);
+            assert!(keys.insert(key), "{}: two series for {key:?}", run.id);
+        }
+    }
+}
+
+#[test]
+fn every_role_that_is_played_has_figures_in_every_situation() {
+    let faults = [
+        Situation::Quiet,
+        Situation::OrdinaryDay,
+        Situation::MachineGone,
+        Situation::RackGone,
+        Situation::ZoneGone,
+        Situation::RegionsApart,
+        Situation::ServiceRestart,
+    ];
+    let roles = [
+        Role::GatewayCalls,
+        Role::GatewayControl,
+        Role::CoreSwitch,
+        Role::ListSource,
+        Role::ZoneLink,
+        Role::RegionLink,
+    ];
+    let situations = QUICK.iter().find(|run| run.id == "hollow-situations").unwrap();
+    for (role, situation) in roles.iter().flat_map(|role| faults.map(|fault| (*role, fault))) {
+        let found = situations.series.iter().any(|s| (s.role, s.situation) == (role, situation));
+        assert!(found, "{role:?} in {situation:?}");
+    }
+    let bad = |s: &&Series| s.situation == Situation::BadConfiguration;
+    assert!(situations.series.iter().filter(bad).all(|s| s.role == Role::GatewayControl));
+    assert!(situations.series.iter().any(|s| bad(&s)));
+}
+
+#[test]
+fn a_measurement_of_one_role_tells_the_same_of_it_and_nothing_else() {
+    let only = quick(Some(Role::ListSource));
+    assert!(!only.is_empty());
+    for run in &only {
+        let whole = QUICK.iter().find(|whole| whole.id == run.id).unwrap();
+        let of_role: Vec<&Series> = whole.series.iter().filter(|s| s.role == Role::ListSource).collect();
+        assert_eq!(run.series.iter().collect::<Vec<_>>(), of_role);
+    }
+}
+
+/// Counts of the quick measurement under the tests' seed: run, role, situation, cause, quantity, per, then the value at
+/// each size. They change with what the gateway sends; then the lines that the test prints take their place.
+const COMMITTED: &str = "\
+hollow-switches GatewayCalls OrdinaryDay Calls MessagesIn Call: 2.938 2.938 2.938 2.938
+hollow-switches GatewayCalls OrdinaryDay Calls MessagesOut Call: 3.876 3.876 3.876 3.876
+hollow-switches GatewayCalls OrdinaryDay Calls BytesIn Call: 419.232 419.232 419.597 419.806
+hollow-switches GatewayCalls OrdinaryDay Calls BytesOut Call: 437.835 437.835 437.835 437.835
+hollow-switches GatewayControl Quiet List BytesIn Second: 1744.000 3104.000 5848.000 8944.000
+hollow-switches GatewayControl Quiet List BytesIn Event: 436.000 776.000 1462.000 2236.000
+hollow-switches GatewayControl BadConfiguration Configuration BytesIn Event: 1350.000 1938.000 3126.000 4467.000
+hollow-calls GatewayCalls OrdinaryDay All MessagesIn Second: 0.000 28.000 132.333 458.333
+hollow-calls GatewayCalls OrdinaryDay All BytesOut Second: 0.000 4049.000 19631.667 68217.000
+hollow-calls GatewayCalls OrdinaryDay All Connections Held: 26.000 50.000 51.000 60.000
+hollow-calls GatewayCalls OrdinaryDay All StateEntries Held: 0.000 19.000 85.000 310.000
+hollow-standing GatewayCalls OrdinaryDay Probes MessagesOut Second: 1.667 2.667 4.000 1.667
+hollow-standing GatewayCalls OrdinaryDay Connections Connections Second: 3.000 3.000 3.000 2.000
+hollow-changes GatewayCalls OrdinaryDay Connections Connections Second: 0.000 0.050 0.100 0.250 0.500
+hollow-changes GatewayControl OrdinaryDay List BytesIn Second: 9288.000 9288.000 9288.000 9288.000 9288.000
+hollow-gateways CoreSwitch OrdinaryDay Probes MessagesIn Second: 0.333 0.625 0.972 1.146
+hollow-gateways CoreSwitch OrdinaryDay All Connections Held: 11.167 19.333 26.389 32.875
+hollow-gateways ListSource Quiet List MessagesIn Second: 24.000 48.000 72.000 96.000
+hollow-gateways ListSource Quiet List MessagesOut Second: 24.000 48.000 72.000 96.000
+hollow-gateways ListSource Quiet List BytesIn Second: 936.000 1872.000 2808.000 3744.000
+hollow-gateways ListSource Quiet List BytesOut Second: 15384.000 55344.000 120168.000 209760.000
+hollow-gateways-open CoreSwitch Quiet All Connections Held: 6.000 12.000 18.000 24.000
+hollow-restart-gateway CoreSwitch OrdinaryDay Connections Connections Event: 4.000 4.000 8.000 9.000
+hollow-restart-switch CoreSwitch OrdinaryDay Connections Connections Event: 4.000 6.000 6.000 8.000
+hollow-situations GatewayCalls MachineGone All Connections Situation: 11.000 13.000 16.000 19.000
+hollow-situations GatewayCalls RackGone All Connections Situation: 11.000 13.000 16.000 19.000
+hollow-situations GatewayCalls ZoneGone All Connections Situation: 16.000 20.000 26.000 33.000
+hollow-situations GatewayCalls RegionsApart All Connections Situation: 23.000 27.000 29.000 29.000
+hollow-situations GatewayCalls ServiceRestart All Connections Situation: 23.000 27.000 33.000 37.000
+hollow-situations CoreSwitch MachineGone All MessagesIn Situation: 83.000 74.000 85.000 77.000
+hollow-situations CoreSwitch RackGone All MessagesIn Situation: 83.000 75.000 85.000 78.000
+hollow-situations CoreSwitch ZoneGone All MessagesIn Situation: 151.000 157.000 167.000 169.000
+hollow-situations CoreSwitch RegionsApart All MessagesIn Situation: 41.000 41.000 38.000 56.000
+hollow-situations CoreSwitch ServiceRestart All MessagesIn Situation: 83.000 80.000 90.000 96.000
+hollow-situations RegionLink MachineGone All BytesIn Situation: 48914.000 87396.000 141455.000 205767.000
+hollow-situations RegionLink RackGone All BytesIn Situation: 48890.000 90087.000 142460.000 205718.000
+hollow-situations RegionLink ZoneGone All BytesIn Situation: 96100.000 182261.000 282574.000 405654.000
+hollow-situations RegionLink RegionsApart All BytesIn Situation: 42880.000 87516.000 143437.000 215952.000
+hollow-situations RegionLink ServiceRestart All BytesIn Situation: 54542.000 98845.000 157207.000 226955.000";
+
+fn line(run: &Run, series: &Series) -> String {
+    let Series { role, situation, cause, quantity, per, .. } = series;
+    let values: Vec<String> = series.points.iter().map(|point| format!("{:.3}", point.value)).collect();
+    format!("{} {role:?} {situation:?} {cause:?} {quantity:?} {per:?}: {}", run.id, values.join(" "))
+}
+
+#[test]
+fn the_quick_measurement_counts_what_it_counted_when_it_was_committed() {
+    let all: Vec<String> =
+        QUICK.iter().flat_map(|run| run.series.iter().map(|series| line(run, series))).collect();
+    let name = |line: &str| line.split(':').next().unwrap_or_default().to_owned();
+    let wanted: BTreeSet<String> = COMMITTED.lines().map(name).collect();
+    let counted: Vec<&str> =
+        all.iter().map(String::as_str).filter(|line| wanted.contains(&name(line))).collect();
+    assert!(wanted.len() > 20, "too few counts are held against the committed ones");
+    assert_eq!(counted, COMMITTED.lines().collect::<Vec<_>>(), "counted now:\n{}", counted.join("\n"));
+}
+
+#[test]
+fn one_planned_call_reads_as_the_platforms_page_has_it() {
+    let call = PlannedCall { at: Duration::ZERO, gateway: 0, tag: 0x9b1f_03aa_5c7e_2d41 };
+    let mut line = Vec::new();
+    call.set_up(26).write(&mut line);
+    let value: serde_json::Value = serde_json::from_slice(&line).unwrap();
+    assert_eq!(value["verb"], "START");
+    assert_eq!(value["tag"], "9b1f03aa5c7e2d41");
+    assert_eq!(value["opts"]["class"], "voice");
+    assert_eq!(value["opts"]["left"], "3000");
+    assert!(value["opts"]["extras"].as_str().unwrap().starts_with("dest:"));
+    assert!(!value["blob"].as_str().unwrap().is_empty());
+}
--- /dev/null
+++ b/crates/fawnrouter-capacity/tests/process.rs
@@ -0,0 +1,133 @@
+//! What the process rig reads: texts of `/proc`, lines on sockets; and what it says without a program. Processes themselves
+//! are played in the daemon's tests, where the program is.
+
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use fawnrouter_capacity::figures::Role;
+use fawnrouter_capacity::hollow::{ByVerb, Scenario, Volume};
+use fawnrouter_capacity::process::lines::{LineReader, counted_since, volume_of_calls, volume_of_tests};
+use fawnrouter_capacity::process::usage::{
+    Usage, machine_memory_mib, resident_bytes, schedstat_time, stat_time,
+};
+use fawnrouter_capacity::process::{ProcessError, ProcessOptions, Rig, measure, play};
+
+const STAT: &str = "5130 (fawn) router) S 5129 5130 5130 0 -1 4194560 7282 70398 0 1 26 61 18 20 20 0 2 0 22828 5124096 984 \
+                    18446744073709551615 94678372163584\n";
+const STATUS: &str = "Name:\tfawnrouter\nUmask:\t0022\nState:\tS (sleeping)\nVmPeak:\t   56164 kB\nVmRSS:\t    5588 kB\nThreads:\t2\n";
+
+const START: &str = r#"{"verb":"START","tag":"9b1f03aa5c7e2d41","opts":{"class":"voice","left":"1500"},"blob":"9d41\r\nc=IN IP4 10.4.7.9\r\n"}"#;
+const STARTED: &str = r#"{"verb":"STARTED","tag":"9b1f03aa5c7e2d41","opts":{},"blob":"51f2"}"#;
+const TEST: &str = r#"{"verb":"ECHO","tag":"00000000000000aa","opts":{},"rc":0}"#;
+
+#[test]
+fn processor_times_are_read_to_the_nanosecond_and_to_the_tick() {
+    assert_eq!(schedstat_time("83165239 936844 169\n"), Some(Duration::from_nanos(83_165_239)));
+    assert_eq!(schedstat_time("0 0 1\n"), Some(Duration::ZERO));
+    for bad in ["", "83165239\n", "83165239 936844\n", "83165239 936844 169 4\n", "-1 2 3\n", "a b c\n"] {
+        assert_eq!(schedstat_time(bad), None, "{bad:?}");
+    }
+    // 26 ticks in user mode, 61 in kernel mode; the name holds a parenthesis and a blank.
+    assert_eq!(stat_time(STAT), Some(Duration::from_millis(870)));
+    for bad in ["", "5130 fawnrouter S 1 2 3", "5130 (fawnrouter) S 1 2 3"] {
+        assert_eq!(stat_time(bad), None, "{bad:?}");
+    }
+}
+
+#[test]
+fn memory_is_read_in_the_unit_that_the_kernel_names() {
+    assert_eq!(resident_bytes(STATUS), Some(5588 * 1024));
+    for bad in ["", "VmPeak:\t 1 kB\n", "VmRSS:\n", "VmRSS:\t12\n", "VmRSS:\t12 MB\n", "VmRSS:\tmany kB\n"] {
+        assert_eq!(resident_bytes(bad), None, "{bad:?}");
+    }
+    assert_eq!(machine_memory_mib("MemTotal:       24730000 kB\nMemFree: 1 kB\n"), Some(24_150));
+    assert_eq!(machine_memory_mib("MemFree: 1 kB\n"), None);
+}
+
+#[test]
+fn a_process_is_asked_for_what_it_uses_and_one_that_is_not_there_is_named() {
+    let own = Usage::of_process(std::process::id()).expect("a process of this machine");
+    // Three standard streams and the folder that is being listed, at the least.
+    assert!(own.resident_bytes > 0 && own.descriptors >= 4, "{own:?}");
+    // Beyond the highest number that the kernel gives.
+    let error = Usage::of_process(u32::MAX).expect_err("no such process");
+    assert!(error.to_string().contains("/proc/4294967295/status"), "{error}");
+}
+
+#[test]
+fn lines_are_counted_by_verb_to_the_byte_however_they_are_cut() {
+    let stream = format!("{START}\n{STARTED}\n{TEST}\n{START}\n");
+    for cut in 0..=stream.len() {
+        let mut reader = LineReader::default();
+        let mut lines = Vec::new();
+        for part in [&stream[..cut], &stream[cut..]] {
+            let pushed =
+                reader.push(part.as_bytes(), |message, bytes| lines.push((message.tag.to_string(), bytes)));
+            pushed.expect("messages");
+        }
+        let call = "9b1f03aa5c7e2d41".to_owned();
+        let wanted = [
+            (call.clone(), START.len() + 1),
+            (call.clone(), STARTED.len() + 1),
+            ("00000000000000aa".to_owned(), TEST.len() + 1),
+            (call, START.len() + 1),
+        ];
+        assert_eq!(lines, wanted, "cut at {cut}");
+    }
+}
+
+#[test]
+fn what_is_no_message_ends_the_count() {
+    let mut reader = LineReader::default();
+    let mut count = 0;
+    let pushed = reader.push(format!("{START}\nnoise\n{START}\n").as_bytes(), |_, _| count += 1);
+    assert!(pushed.is_err());
+    assert_eq!(count, 1);
+}
+
+fn lines(counts: &[(&'static str, u64, u64)]) -> ByVerb {
+    ByVerb(counts.iter().map(|(verb, messages, bytes)| (*verb, volume(*messages, *bytes))).collect())
+}
+
+const fn volume(messages: u64, bytes: u64) -> Volume {
+    Volume { messages, bytes }
+}
+
+#[test]
+fn counts_of_a_window_are_what_came_since_its_start_and_tests_are_no_calls() {
+    let before = lines(&[("START", 3, 300), ("ECHO", 1, 60)]);
+    let after = lines(&[("START", 5, 510), ("STARTED", 2, 80), ("ECHO", 4, 240), ("ECHOED", 4, 250)]);
+    let window = counted_since(&before, &after);
+    assert_eq!(window, lines(&[("START", 2, 210), ("STARTED", 2, 80), ("ECHO", 3, 180), ("ECHOED", 4, 250)]));
+    assert_eq!(volume_of_calls(&window), volume(4, 290));
+    assert_eq!(volume_of_tests(&window), volume(7, 430));
+}
+
+#[test]
+fn without_the_program_it_is_told_how_to_build_it_and_nothing_is_measured() {
+    let program = Path::new("/nowhere/fawnrouter");
+    let stop = AtomicBool::new(false);
+    let mut parts = Vec::new();
+    let measured = measure(ProcessOptions {
+        program,
+        seed: 1,
+        quick: true,
+        only: Some(Role::CoreSwitch),
+        allocator: None,
+        stop: &stop,
+        progress: &mut |part| parts.push(part.to_owned()),
+    });
+    let played = play(&Scenario::one_service(1, 1, 1), Duration::ZERO, Rig { program, seed: 1, stop: &stop });
+    for error in [measured.map(|_| ()), played.map(|_| ())] {
+        let error = error.expect_err("there is no such program");
+        assert!(matches!(error, ProcessError::NoProgram { .. }));
+        let text = error.to_string();
+        for part in
+            ["/nowhere/fawnrouter", "cargo build --release -p fawnrouterd", "--program", "--no-processes"]
+        {
+            assert!(text.contains(part), "{text}");
+        }
+    }
+    assert!(parts.is_empty(), "{parts:?}");
+}
--- a/crates/fawnrouter-lab/src/main.rs
+++ b/crates/fawnrouter-lab/src/main.rs
@@ -1,6 +1,9 @@
 #![forbid(unsafe_code)]
-//! `fawnrouter-lab`: the demonstration, scripted days, and the gateway process that both start.
+//! `fawnrouter-lab`: the demonstration, scripted days, the gateway process that both start, and what a fleet costs.
 
+mod capacity;
+
+use std::alloc::System;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -11,6 +14,12 @@
     relay_main, run_day, run_demo, run_load, run_memory,
 };
 use futures_lite::StreamExt;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+/// Counts allocations and bytes for `capacity`. All commands of this program carry it: what `load` and `memory` measure
+/// includes a few nanoseconds an allocation, on both sides of each comparison.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Tries the gateway on loopback sockets between stand-ins, with the five rules audited from the traffic.
 #[derive(Debug, Parser)]
@@ -78,6 +87,10 @@
         #[arg(long, default_value_t = 10_000)]
         calls: u64,
     },
+    /// What a fleet of gateways costs, by role and situation: hollow gateways, gateway processes on loopback, the slopes
+    /// of both and the values at the design size. Prints all tables; a whole measurement also writes docs/capacity.json
+    /// and the tables of docs/CAPACITY.md.
+    Capacity(capacity::CapacityOptions),
     /// The process of a flood of strangers.
     #[command(hide = true)]
     Flood(FloodOptions),
@@ -112,6 +125,10 @@
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => failed(&error),
         },
+        Command::Capacity(options) => match capacity::run_capacity(&options, Some(ALLOCATOR)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => failed(&error),
+        },
         Command::Demo { hold, seconds, seed } => {
             let mut signals = match Signals::new([Signal::Int, Signal::Term]) {
                 Ok(signals) => signals,
