--- a/review/harness.rs
+++ b/review/harness.rs
@@ -724,6 +724,7 @@
         let running = self.is_running();
         let _ = self.child.kill();
         let status = self.child.wait();
+        let _ = std::fs::remove_file(self.directory.join(format!("{}.pid", self.child.id())));
         self.record.put(
             "gateway",
             &format!("ended by the case: it was {}, {status:?}", if running { "running" } else { "gone" }),
