Find, close and replace a connection to a core switch that no longer answers

Cause: only the switch was judged, not its connections. Traffic on its others moved on the one time of the last proof (`Liveness::record`), so no new connection was tried; `Links::choose_for_set_up` and `choose_for_release` took each open connection, the oldest first, for one that works. Ruled out by the record: the switch wrote the releases to the dead connection, accepted no further one, and served the others.

Change: `link_health` judges each connection by what is received on it: in doubt after an unanswered attempt or 4 s of quiet in use, probed once, off use after 0.5 s, closed after 1 s if the switch has answered a later question on another connection. Releases written since its last message are repeated. Counts: opened, probes, dead.

Why it works: the switch repeats releases on the next connection opened, and one is opened 0.35 s after the close; a switch that answers nowhere keeps its connections.

--- a/crates/fawnrouter-node/src/calls.rs
+++ b/crates/fawnrouter-node/src/calls.rs
@@ -47,6 +47,8 @@
     pub server: ServerId,
     /// The attempt that established the call; `None`: reported by its caller.
     pub attempt: Option<AttemptNo>,
+    /// The connection to the core switch that carried the set-up; `None`: reported by its caller.
+    pub link: Option<LinkId>,
     /// Since when the call is known to be established.
     pub since: Time,
 }
@@ -161,6 +163,11 @@
         Some(call)
     }
 
+    /// Number of established calls at a core switch.
+    pub fn established_at(&self, server: ServerId) -> usize {
+        self.established_by_server.get(&server).map_or(0, BTreeSet::len)
+    }
+
     pub fn has_established_at(&self, server: ServerId) -> bool {
         self.established_by_server.contains_key(&server)
     }
--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -5,6 +5,10 @@
 //! on it. A set-up goes on the connection with the fewest open set-ups, and never on one that carried an
 //! attempt of the same call that the core switch has not answered: the call's id is the same for all its
 //! attempts, so only the connection tells them apart.
+//!
+//! Nothing is written on a connection that does not answer ([`crate::link_health`]) while there is another
+//! one. If there is none, one is opened for what waits, and further ones ever more seldom
+//! ([`REPLACEMENT_PAUSE`]): a switch of which no connection answers is more likely at fault itself.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -14,6 +18,8 @@
 use fawnrouter_jsonl::Tag;
 use fawnrouter_machine::{Backoff, BackoffSettings};
 
+use crate::link_health::{LinkCheck, LinkHealth, LinkStatus};
+
 /// A connection to a core switch. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
@@ -32,6 +38,11 @@
 /// Delays between a lost connection and the next attempt.
 const DIAL_BACKOFF: BackoffSettings =
     BackoffSettings { initial: Duration::from_millis(40), max: Duration::from_millis(500) };
+/// Pause after a connection was opened to a core switch in place of those that do not answer. It doubles with
+/// each until the switch sends a message.
+const REPLACEMENT_PAUSE: Duration = Duration::from_secs(2);
+/// Longest pause between two such connections.
+const MAX_REPLACEMENT_PAUSE: Duration = Duration::from_secs(16);
 /// Fraction of the platform's idle timeout after which an idle connection is replaced, so that no set-up
 /// crosses the switch's close.
 const IDLE_REPLACE_FRACTION: f64 = 0.7;
@@ -39,6 +50,8 @@
 const ENDED_ATTEMPT_LIFETIME: Duration = Duration::from_secs(12);
 /// Most ended attempts that one connection remembers.
 const MAX_ENDED_ATTEMPTS: usize = 256;
+/// Most releases of one connection that are repeated on another one.
+const MAX_UNCONFIRMED_RELEASES: usize = 256;
 /// Most releases that wait for a connection to one core switch. Beyond that the oldest are dropped unsent.
 const MAX_PENDING_RELEASES: usize = 1024;
 
@@ -68,11 +81,38 @@
     pub up: bool,
     /// Set-ups sent on this connection that are still open.
     pub open_set_ups: BTreeSet<Tag>,
+    /// Established calls whose set-up was sent on this connection: the switch releases them on it.
+    pub established_calls: usize,
+    pub health: LinkHealth,
+    /// Releases written since a message was last received. If the connection is lost, the switch may not have
+    /// read them.
+    unconfirmed_releases: VecDeque<(Tag, i64)>,
     ended_attempts: VecDeque<EndedAttempt>,
     last_used: Time,
 }
 
 impl Link {
+    /// Registers a set-up that is sent on this connection.
+    pub fn start_attempt(&mut self, now: Time, tag: Tag) {
+        if self.open_set_ups.is_empty() && self.established_calls == 0 {
+            self.health.use_begins(now);
+        }
+        self.open_set_ups.insert(tag);
+    }
+
+    /// Registers a release that is written on this connection.
+    pub fn release_sent(&mut self, tag: Tag, cause: i64) {
+        self.unconfirmed_releases.push_back((tag, cause));
+        if self.unconfirmed_releases.len() > MAX_UNCONFIRMED_RELEASES {
+            self.unconfirmed_releases.pop_front();
+        }
+    }
+
+    /// Takes the releases that the switch may not have read.
+    pub fn take_unconfirmed_releases(&mut self) -> VecDeque<(Tag, i64)> {
+        std::mem::take(&mut self.unconfirmed_releases)
+    }
+
     /// Ends an attempt on this connection. Unless the core switch has `answered`, a late answer may still
     /// arrive; `released` says that a release is being sent to the switch now.
     pub fn end_attempt(&mut self, now: Time, tag: Tag, answered: bool, released: bool) {
@@ -83,6 +123,9 @@
         if answered {
             return;
         }
+        if released {
+            self.health.attempt_unanswered(now);
+        }
         self.ended_attempts.push_back(EndedAttempt { ended_at: now, tag, released });
         while self.ended_attempts.len() > MAX_ENDED_ATTEMPTS
             || self.ended_attempts.front().is_some_and(|s| now.since(s.ended_at) > ENDED_ATTEMPT_LIFETIME)
@@ -113,7 +156,17 @@
     /// Releases that wait for a connection.
     pending_releases: VecDeque<(Tag, i64)>,
     backoff: Backoff,
-    pub next_dial_at: Time,
+    next_dial_at: Time,
+    /// When a connection may be opened again in place of those that do not answer.
+    next_replacement_at: Time,
+    replacement_pause: Duration,
+}
+
+impl SwitchLinks {
+    /// Whether a set-up or a release waits for a connection.
+    fn has_waiting_messages(&self) -> bool {
+        !self.waiting_set_ups.is_empty() || !self.pending_releases.is_empty()
+    }
 }
 
 /// The connections to all core switches.
@@ -158,32 +211,63 @@
             pending_releases: VecDeque::new(),
             backoff: Backoff::default(),
             next_dial_at: Time::default(),
+            next_replacement_at: Time::default(),
+            replacement_pause: REPLACEMENT_PAUSE,
         })
     }
 
-    fn links_to(&self, server: ServerId) -> impl Iterator<Item = (LinkId, &Link)> {
+    /// The connections to a core switch.
+    pub fn links_to(&self, server: ServerId) -> impl Iterator<Item = (LinkId, &Link)> {
         let ids = self.switches.get(&server).into_iter().flat_map(|s| &s.links);
         ids.filter_map(|id| self.links.get(id).map(|l| (*id, l)))
     }
 
-    pub fn has_link_up(&self, server: ServerId) -> bool {
-        self.links_to(server).any(|(_, l)| l.up)
+    /// The connections to a core switch that are up and answer as far as is known.
+    fn responsive_links_to(&self, now: Time, server: ServerId) -> impl Iterator<Item = (LinkId, &Link)> {
+        self.links_to(server).filter(move |(_, l)| l.up && l.health.status(now) != LinkStatus::Unresponsive)
+    }
+
+    /// Whether a connection is up and answers as far as is known.
+    pub fn has_responsive_link(&self, now: Time, server: ServerId) -> bool {
+        self.responsive_links_to(now, server).next().is_some()
     }
 
     /// Chooses the connection for a set-up.
-    pub fn choose_for_set_up(&self, server: ServerId, tag: Tag) -> LinkChoice {
-        let usable = self.links_to(server).filter(|(_, l)| {
-            l.up && l.open_set_ups.len() < self.max_set_ups_per_link && !l.carried_attempt_of(tag)
-        });
-        usable
-            .min_by_key(|(id, l)| (l.open_set_ups.len(), *id))
-            .map_or(LinkChoice::Wait, |(id, _)| LinkChoice::Use(id))
+    pub fn choose_for_set_up(&self, now: Time, server: ServerId, tag: Tag) -> LinkChoice {
+        let has_room =
+            |l: &Link| l.up && l.open_set_ups.len() < self.max_set_ups_per_link && !l.carried_attempt_of(tag);
+        let responsive = self.responsive_links_to(now, server).filter(|(_, l)| has_room(l));
+        let best = responsive.min_by_key(|(id, l)| (l.health.status(now), l.open_set_ups.len(), *id));
+        if let Some((id, _)) = best {
+            return LinkChoice::Use(id);
+        }
+        // The newest of those that do not answer has the best chance, while no other may be opened.
+        let unresponsive = self.links_to(server).filter(|(_, l)| has_room(l)).last();
+        match unresponsive {
+            Some((id, _)) if !self.may_replace_unresponsive(now, server) => LinkChoice::Use(id),
+            _ => LinkChoice::Wait,
+        }
     }
 
-    /// Chooses a connection for a release: any that is up, since an established call is not bound to a
-    /// connection.
-    pub fn choose_for_release(&self, server: ServerId) -> Option<LinkId> {
-        self.links_to(server).find(|(_, l)| l.up).map(|(id, _)| id)
+    /// Whether a connection may be opened, or is being opened, in place of those that do not answer.
+    fn may_replace_unresponsive(&self, now: Time, server: ServerId) -> bool {
+        let Some(switch) = self.switches.get(&server) else { return false };
+        let has_room = self.links.len() < self.max_links && switch.links.len() < MAX_LINKS_PER_SWITCH;
+        (has_room && now >= switch.next_replacement_at) || self.links_to(server).any(|(_, l)| !l.up)
+    }
+
+    /// Chooses a connection for a release or a probe: any that is up and answers, since an established call
+    /// is not bound to a connection.
+    pub fn choose_for_release(&self, now: Time, server: ServerId) -> Option<LinkId> {
+        self.responsive_links_to(now, server)
+            .min_by_key(|(id, l)| (l.health.status(now), *id))
+            .map(|(id, _)| id)
+    }
+
+    /// Chooses a connection for a probe of the core switch: the best that is up.
+    pub fn choose_for_probe(&self, now: Time, server: ServerId) -> Option<LinkId> {
+        let newest_up = || self.links_to(server).filter(|(_, l)| l.up).last().map(|(id, _)| id);
+        self.choose_for_release(now, server).or_else(newest_up)
     }
 
     /// Queues a release until a connection is available.
@@ -212,18 +296,21 @@
     /// How many more connections are to be opened now.
     pub fn missing_links(&self, now: Time, server: ServerId, need: LinkNeed) -> usize {
         let Some(switch) = self.switches.get(&server) else { return 0 };
-        let (mut up, mut shared, mut opening) = (0, 0, 0);
+        let (mut up, mut shared, mut opening, mut unresponsive) = (0, 0, 0, 0);
         for (_, link) in self.links_to(server) {
-            if link.up {
+            if !link.up {
+                opening += 1;
+            } else if switch.has_waiting_messages() && link.health.status(now) == LinkStatus::Unresponsive {
+                unresponsive += 1;
+            } else {
                 up += 1;
                 shared += usize::from(link.open_set_ups.len() >= SET_UPS_PER_SHARED_LINK);
-            } else {
-                opening += 1;
             }
         }
         let wanted = match need {
-            LinkNeed::None if switch.waiting_set_ups.is_empty() && switch.pending_releases.is_empty() => 0,
+            LinkNeed::None if !switch.has_waiting_messages() => 0,
             LinkNeed::None | LinkNeed::Releases => 1,
+            _ if up == 0 && unresponsive > 0 => 1,
             // Set-ups wait although connections are up only if all of those have carried their call.
             LinkNeed::SetUps if !switch.waiting_set_ups.is_empty() => {
                 (up + switch.waiting_set_ups.len()).clamp(MIN_LINKS_PER_SWITCH, MAX_LINKS_PER_SWITCH)
@@ -235,13 +322,23 @@
         let max_per_switch = (self.max_links / self.switches.len().max(1)).max(1);
         let room = self.max_links.saturating_sub(self.links.len());
         let missing = wanted.min(max_per_switch).saturating_sub(up + opening);
-        if now < switch.next_dial_at {
+        let replaces = up == 0 && unresponsive > 0;
+        if now < switch.next_dial_at || (replaces && now < switch.next_replacement_at) {
             0
         } else {
             missing.min(MAX_DIALS_PER_SWITCH.saturating_sub(opening)).min(room)
         }
     }
 
+    /// When a missing connection may be opened, if not now.
+    pub fn next_dial(&self, now: Time, server: ServerId) -> Option<Time> {
+        let switch = self.switches.get(&server)?;
+        let replaces = switch.has_waiting_messages() && !self.has_responsive_link(now, server);
+        let next =
+            if replaces { switch.next_dial_at.max(switch.next_replacement_at) } else { switch.next_dial_at };
+        (now < next).then_some(next)
+    }
+
     /// Whether a connection beyond the needed ones may be opened: no other is being opened, and the total is
     /// not reached.
     pub fn may_open_extra_link(&self, server: ServerId) -> bool {
@@ -252,16 +349,24 @@
     pub fn start_dial(&mut self, now: Time, server: ServerId) -> LinkId {
         self.next_id += 1;
         let id = LinkId(self.next_id);
+        let replaces = self.links_to(server).any(|(_, l)| l.health.status(now) == LinkStatus::Unresponsive);
         let link = Link {
             server,
             up: false,
             open_set_ups: BTreeSet::new(),
+            established_calls: 0,
+            health: LinkHealth::new(now),
+            unconfirmed_releases: VecDeque::new(),
             ended_attempts: VecDeque::new(),
             last_used: now,
         };
         self.links.insert(id, link);
         if let Some(switch) = self.switches.get_mut(&server) {
             switch.links.insert(id);
+            if replaces {
+                switch.next_replacement_at = now.plus(switch.replacement_pause);
+                switch.replacement_pause = (2 * switch.replacement_pause).min(MAX_REPLACEMENT_PAUSE);
+            }
         }
         id
     }
@@ -270,12 +375,26 @@
     pub fn link_up(&mut self, now: Time, id: LinkId) -> Option<ServerId> {
         let link = self.links.get_mut(&id)?;
         (link.up, link.last_used) = (true, now);
+        link.health.use_begins(now);
         if let Some(switch) = self.switches.get_mut(&link.server) {
             switch.backoff.reset();
         }
         Some(link.server)
     }
 
+    /// Registers that a message was received on a connection. Returns the core switch, and whether the
+    /// connection had been taken for unresponsive.
+    pub fn message_received(&mut self, now: Time, id: LinkId) -> Option<(ServerId, bool)> {
+        let link = self.links.get_mut(&id)?;
+        let was_unresponsive = link.health.status(now) == LinkStatus::Unresponsive;
+        link.health.received(now);
+        link.unconfirmed_releases.clear();
+        if let Some(switch) = self.switches.get_mut(&link.server) {
+            (switch.replacement_pause, switch.next_replacement_at) = (REPLACEMENT_PAUSE, now);
+        }
+        Some((link.server, was_unresponsive))
+    }
+
     /// Removes a connection. After a failure the next one waits for the back-off delay; `unit`, a random
     /// number from 0 to 1, places the delay in its range.
     pub fn remove_link(&mut self, now: Time, id: LinkId, failed: bool, unit: f64) -> Option<Link> {
@@ -292,16 +411,25 @@
 
     /// Connections without open set-ups, to core switches for which nothing is queued.
     pub fn idle_links(&self) -> impl Iterator<Item = (LinkId, ServerId)> {
-        let wanted = |s: &ServerId| {
-            self.switches
-                .get(s)
-                .is_some_and(|s| !s.waiting_set_ups.is_empty() || !s.pending_releases.is_empty())
-        };
+        let wanted = |s: &ServerId| self.switches.get(s).is_some_and(SwitchLinks::has_waiting_messages);
         let idle =
             self.links.iter().filter(move |(_, l)| l.up && l.open_set_ups.is_empty() && !wanted(&l.server));
         idle.map(|(id, l)| (*id, l.server))
     }
 
+    /// Checks a connection of a core switch at which this many calls are established. Calls of which no
+    /// connection carried the set-up may be released on any connection.
+    pub fn check_link(&self, now: Time, id: LinkId, established_at_switch: usize) -> LinkCheck {
+        let Some(link) = self.links.get(&id).filter(|l| l.up) else { return LinkCheck::Idle };
+        let bound_calls: usize = self.links_to(link.server).map(|(_, l)| l.established_calls).sum();
+        let in_use = !link.open_set_ups.is_empty()
+            || link.established_calls > 0
+            || established_at_switch > bound_calls;
+        let others = self.links_to(link.server).filter(|(other, _)| *other != id);
+        let answered_elsewhere = others.filter_map(|(_, l)| l.health.latest_answered()).max();
+        link.health.check(now, in_use, answered_elsewhere)
+    }
+
     /// Whether a release waits for a connection to any core switch.
     pub fn has_pending_releases(&self) -> bool {
         self.switches.values().any(|s| !s.pending_releases.is_empty())
--- a/crates/fawnrouter-node/src/liveness.rs
+++ b/crates/fawnrouter-node/src/liveness.rs
@@ -111,9 +111,9 @@
     first_refusal: Option<Time>,
     /// A connection was refused since the last proof.
     refusal_after_last_proof: bool,
-    /// A connection that was up was lost and no new one came up since, so what was written to it may be lost
-    /// too.
-    connection_lost: bool,
+    /// A connection that was up was lost and no new one came up after this time, so what the switch wrote to
+    /// the lost one may be lost too.
+    connection_lost_at: Option<Time>,
     /// The list does not show the switch as ready: it drains, or is gone.
     not_ready: bool,
     unlisted_since: Option<Time>,
@@ -128,7 +128,7 @@
             connect_tried_at: None,
             first_refusal: None,
             refusal_after_last_proof: false,
-            connection_lost: false,
+            connection_lost_at: None,
             not_ready: false,
             unlisted_since: None,
         }
@@ -143,8 +143,8 @@
         if evidence != Evidence::AnyMessage {
             (self.last_proof, self.refusal_after_last_proof) = (now, false);
         }
-        if evidence == Evidence::Connected {
-            self.connection_lost = false;
+        if evidence == Evidence::Connected && self.connection_lost_at.is_some_and(|lost_at| now >= lost_at) {
+            self.connection_lost_at = None;
         }
     }
 
@@ -154,9 +154,9 @@
         self.refusal_after_last_proof = true;
     }
 
-    /// Records that a connection that was up is lost.
-    pub fn connection_lost(&mut self) {
-        self.connection_lost = true;
+    /// Records that a connection that was up is lost, and from when on the switch writes nothing to it.
+    pub fn connection_lost(&mut self, at: Time) {
+        self.connection_lost_at = self.connection_lost_at.max(Some(at));
     }
 
     /// Records the state in the list; `None`: the switch is not listed.
@@ -200,7 +200,7 @@
         } else {
             RECONNECT_AFTER_READY
         });
-        let reconnect_at = if self.connection_lost { now } else { reconnect_at };
+        let reconnect_at = self.connection_lost_at.map_or(reconnect_at, |lost_at| lost_at.min(reconnect_at));
         let connect_at = self.connect_tried_at.map_or(reconnect_at, |connect_tried_at| {
             reconnect_at.max(connect_tried_at.plus(RECONNECT_INTERVAL))
         });
@@ -340,7 +340,7 @@
         let connects = |result: CheckResult| matches!(result, CheckResult::CheckAgain { connect: true, .. });
         let mut liveness = Liveness::new(at(0));
         assert!(!connects(liveness.check(at(100))));
-        liveness.connection_lost();
+        liveness.connection_lost(at(100));
         assert!(
             connects(liveness.check(at(100)))
                 && !connects(liveness.check(at(900)))
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod established;
 mod interface;
+mod link_checks;
 mod shutdown;
 mod switch_links;
 mod switch_list;
@@ -57,6 +58,7 @@
     CallDeadline(Tag),
     Redial(ServerId),
     LivenessCheck(ServerId),
+    LinkCheck(ServerId),
     ClientCheck(ClientId),
     Housekeeping,
     Shutdown,
@@ -74,6 +76,7 @@
 #[derive(Debug)]
 struct Probe {
     server: ServerId,
+    link: LinkId,
     sent_at: Time,
     /// Requested by the controller, which then gets the result; otherwise sent by the liveness check.
     by_controller: bool,
@@ -368,6 +371,7 @@
             }
             TimerKey::Redial(server) => self.open_missing_links(server),
             TimerKey::LivenessCheck(server) => self.check_liveness(server),
+            TimerKey::LinkCheck(server) => self.check_links(server),
             TimerKey::ClientCheck(client) => {
                 if self.client_connections.is_overdue(self.now, client) {
                     self.close_with_error_if_unused(client, cause::MISSING, "no whole message came in time");
--- a/crates/fawnrouter-node/src/node/attempts.rs
+++ b/crates/fawnrouter-node/src/node/attempts.rs
@@ -24,7 +24,7 @@
             return self.attempt_failed(tag, Outcome::Moot, OutcomeDetail::None);
         };
         self.links.switch_entry(server, address);
-        match self.links.choose_for_set_up(server, tag) {
+        match self.links.choose_for_set_up(now, server, tag) {
             LinkChoice::Use(link) => self.send_set_up(tag, link),
             LinkChoice::Wait => {
                 self.links.queue_set_up(server, tag);
@@ -53,8 +53,9 @@
         self.timers.set(TimerKey::AttemptTimeout(tag), timeout_at);
         self.links.drop_pending_release(server, tag);
         if let Some(link) = self.links.links.get_mut(&link) {
-            link.open_set_ups.insert(tag);
+            link.start_attempt(now, tag);
         }
+        self.start_link_checks(server);
         self.counters.attempts += 1;
         self.outputs.push(Output::SetUp { client, link, tag, line: encode_line(&start) });
     }
@@ -69,6 +70,7 @@
             Some(SentSetUp { link, .. }) => {
                 if let Some(l) = self.links.links.get_mut(&link) {
                     l.end_attempt(self.now, tag, false, true);
+                    l.release_sent(tag, cause::CLEARING);
                     let line = encode_line(&Message::new(Verb::Finish, tag).with_cause(cause::CLEARING));
                     self.outputs.push(Output::CancelSetUp { link, tag, line });
                 } else {
@@ -77,6 +79,9 @@
             }
         }
         self.timers.clear(TimerKey::AttemptTimeout(tag));
+        if attempt.sent.is_some() {
+            self.timers.set(TimerKey::LinkCheck(attempt.server), self.now);
+        }
     }
 
     /// Ends the current attempt without an answer from the core switch.
@@ -130,8 +135,8 @@
 
     /// Releases a call at a core switch, now or on the next connection.
     pub(super) fn release_at_switch(&mut self, server: ServerId, tag: Tag, rc: i64) {
-        match self.links.choose_for_release(server) {
-            Some(link) => self.send_to_switch(link, &Message::new(Verb::Finish, tag).with_cause(rc)),
+        match self.links.choose_for_release(self.now, server) {
+            Some(link) => self.send_release(link, tag, rc),
             None => {
                 self.links.add_pending_release(server, tag, rc);
                 self.open_missing_links(server);
@@ -139,6 +144,14 @@
         }
     }
 
+    /// Writes a release to a core switch.
+    pub(super) fn send_release(&mut self, link: LinkId, tag: Tag, rc: i64) {
+        if let Some(link) = self.links.links.get_mut(&link) {
+            link.release_sent(tag, rc);
+        }
+        self.send_to_switch(link, &Message::new(Verb::Finish, tag).with_cause(rc));
+    }
+
     /// Writes a message to a core switch.
     pub(super) fn send_to_switch(&mut self, link: LinkId, message: &Message) {
         self.outputs.push(Output::ToLink { link, line: encode_line(message) });
--- a/crates/fawnrouter-node/src/node/callers.rs
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -328,8 +328,10 @@
         let server = self.server_ids.get(switch).filter(|s| self.servers.contains_key(s));
         match (server, released) {
             (Some(server), None) if self.calls.established.len() < MAX_ESTABLISHED_CALLS => {
-                self.calls
-                    .add_established(tag, EstablishedCall { client, server, attempt: None, since: self.now });
+                self.calls.add_established(
+                    tag,
+                    EstablishedCall { client, server, attempt: None, link: None, since: self.now },
+                );
                 self.call_established_for(client);
                 self.open_missing_links(server);
                 self.start_liveness_checks(server);
--- a/crates/fawnrouter-node/src/node/established.rs
+++ b/crates/fawnrouter-node/src/node/established.rs
@@ -69,6 +69,7 @@
         if let Some(sent) = attempt.sent {
             if let Some(link) = self.links.links.get_mut(&sent.link) {
                 link.end_attempt(now, tag, true, false);
+                link.established_calls += 1;
             }
             self.events.push_back(Event::Established {
                 call: CallId(tag.0),
@@ -82,6 +83,7 @@
             client: open.client,
             server: attempt.server,
             attempt: Some(attempt.no),
+            link: attempt.sent.map(|sent| sent.link),
             since: now,
         };
         self.calls.add_established(tag, call);
@@ -100,6 +102,7 @@
         if !self.timers.is_set(TimerKey::LivenessCheck(server)) {
             self.check_liveness(server);
         }
+        self.start_link_checks(server);
     }
 
     /// Ends an established call that its core switch released or lost, and notifies its caller.
@@ -114,6 +117,9 @@
     /// Reports the end of an established call to the controller.
     pub(super) fn report_established_end(&mut self, tag: Tag, call: EstablishedCall, outcome: Outcome) {
         self.client_connections.count_established(call.client, false);
+        if let Some(link) = call.link.and_then(|link| self.links.links.get_mut(&link)) {
+            link.established_calls = link.established_calls.saturating_sub(1);
+        }
         if let Some(attempt) = call.attempt {
             self.events.push_back(Event::Closed {
                 call: CallId(tag.0),
--- a/crates/fawnrouter-node/src/node/interface.rs
+++ b/crates/fawnrouter-node/src/node/interface.rs
@@ -260,6 +260,12 @@
     pub calls_lost: u64,
     /// Messages from core switches that could not be read or used.
     pub invalid_responses: u64,
+    /// Connections to core switches that were started.
+    pub links_opened: u64,
+    /// Connections to core switches that were closed because they did not answer while others did.
+    pub dead_links: u64,
+    /// Probes sent to core switches.
+    pub probes: u64,
     /// Client connections that were not admitted or were closed to make room.
     pub rejected_or_evicted_clients: u64,
 }
--- a/crates/fawnrouter-node/src/node/switch_links.rs
+++ b/crates/fawnrouter-node/src/node/switch_links.rs
@@ -11,6 +11,20 @@
 use crate::liveness::Evidence;
 use crate::request::cause;
 
+/// Time that the driver may take to close a connection: the rest of what is written must be written first.
+const CLOSE_TIME: Duration = Duration::from_millis(350);
+
+/// Why a connection to a core switch is removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RemovalReason {
+    /// It carries no set-up and is closed in order.
+    Idle,
+    /// It failed or did not come up.
+    Failed,
+    /// It does not answer and is being closed, which the switch notices within [`CLOSE_TIME`].
+    Dead,
+}
+
 impl Node {
     /// What connections to a core switch are needed for. A draining switch has nothing to send if no call of
     /// this gateway is established there. Without this rule hundreds of restarted gateways would connect to
@@ -31,10 +45,8 @@
         for _ in 0..self.links.missing_links(self.now, server, need) {
             self.dial(server);
         }
-        if let Some(switch) = self.links.switches.get(&server)
-            && self.now < switch.next_dial_at
-        {
-            self.timers.set(TimerKey::Redial(server), switch.next_dial_at);
+        if let Some(next_dial) = self.links.next_dial(self.now, server) {
+            self.timers.set(TimerKey::Redial(server), next_dial);
         }
     }
 
@@ -42,6 +54,7 @@
     pub(super) fn dial(&mut self, server: ServerId) {
         let Some(address) = self.links.switches.get(&server).map(|s| s.address) else { return };
         let link = self.links.start_dial(self.now, server);
+        self.counters.links_opened += 1;
         self.outputs.push(Output::OpenLink { link, address, within: self.connections.dial_timeout });
     }
 
@@ -49,25 +62,30 @@
     pub(super) fn link_up(&mut self, link: LinkId) {
         let Some(server) = self.links.link_up(self.now, link) else { return };
         self.record_evidence(server, Evidence::Connected);
+        self.send_waiting_messages(server, link);
+        self.open_missing_links(server);
+    }
+
+    /// Sends the releases that wait for a connection to a core switch on this one, and the set-ups on any.
+    fn send_waiting_messages(&mut self, server: ServerId, link: LinkId) {
         for (tag, rc) in self.links.take_pending_releases(server) {
-            self.send_to_switch(link, &Message::new(Verb::Finish, tag).with_cause(rc));
+            self.send_release(link, tag, rc);
         }
         for tag in self.links.take_queued_set_ups(server) {
             // An attempt that has timed out by now is not sent; its timer ends it later in this step.
             let in_time =
                 self.calls.open.get(&tag).and_then(|c| c.attempt).is_some_and(|a| self.now < a.timeout_at);
-            match self.links.choose_for_set_up(server, tag) {
+            match self.links.choose_for_set_up(self.now, server, tag) {
                 LinkChoice::Use(link) if in_time => self.send_set_up(tag, link),
                 _ => self.links.queue_set_up(server, tag),
             }
         }
-        self.open_missing_links(server);
     }
 
     /// Closes a connection that carries no set-up.
     pub(super) fn close_link(&mut self, link: LinkId) {
         self.outputs.push(Output::CloseLink { link });
-        self.remove_link(link, false);
+        self.remove_link(link, RemovalReason::Idle);
     }
 
     /// Closes a connection after an unusable message. The set-ups on it cannot be answered any more.
@@ -77,10 +95,20 @@
             let server = l.server;
             self.log(format!("connection to core switch {} closed: {reason}", server.0));
             self.outputs.push(Output::CloseLink { link });
-            self.remove_link(link, true);
+            self.remove_link(link, RemovalReason::Failed);
         }
     }
 
+    /// Closes a connection that does not answer while the switch answers on others. The set-ups on it cannot
+    /// be answered any more. What the switch wrote on it comes again on the next connection, which is opened
+    /// only after the switch has noticed the close: what it still wrote on the dead one would be lost.
+    pub(super) fn close_dead_link(&mut self, server: ServerId, link: LinkId) {
+        self.counters.dead_links += 1;
+        self.log(format!("connection {} to core switch {} closed: it does not answer", link.0, server.0));
+        self.outputs.push(Output::CloseLink { link });
+        self.remove_link(link, RemovalReason::Dead);
+    }
+
     /// A connection has ended or did not come up.
     pub(super) fn link_down(&mut self, link: LinkId, end: LinkEnd) {
         let Some(l) = self.links.links.get(&link) else { return };
@@ -90,9 +118,9 @@
         {
             s.liveness.connection_refused(now);
         }
-        self.remove_link(link, true);
+        self.remove_link(link, RemovalReason::Failed);
         // The switch cannot be reached, so the set-ups that wait for a connection have failed to get one.
-        if end != LinkEnd::Broken && !self.links.has_link_up(server) {
+        if end != LinkEnd::Broken && !self.links.has_responsive_link(now, server) {
             for tag in self.links.take_queued_set_ups(server) {
                 self.attempt_failed(tag, Outcome::ConnectFailed, OutcomeDetail::None);
             }
@@ -101,15 +129,20 @@
 
     /// Removes a connection. Each set-up on it is reset, once. Such a call may have been established all the
     /// same, as its answer may have been damaged or lost, so it is released on another connection.
-    pub(super) fn remove_link(&mut self, link: LinkId, failed: bool) {
+    pub(super) fn remove_link(&mut self, link: LinkId, reason: RemovalReason) {
+        let failed = reason != RemovalReason::Idle;
         let unit = self.random_unit();
-        let Some(gone) = self.links.remove_link(self.now, link, failed, unit) else { return };
+        let Some(mut gone) = self.links.remove_link(self.now, link, failed, unit) else { return };
         // What the switch wrote last may be lost with the connection; it is repeated on the next one opened.
         if gone.up
             && (failed || self.link_need(gone.server) != LinkNeed::SetUps)
             && let Some(s) = self.servers.get_mut(&gone.server)
         {
-            s.liveness.connection_lost();
+            let noticed_after = if reason == RemovalReason::Dead { CLOSE_TIME } else { Duration::ZERO };
+            s.liveness.connection_lost(self.now.plus(noticed_after));
+        }
+        if failed {
+            self.repeat_releases(gone.server, gone.take_unconfirmed_releases());
         }
         for tag in gone.open_set_ups {
             self.attempt_failed(tag, Outcome::Reset, OutcomeDetail::None);
@@ -119,10 +152,27 @@
         self.check_liveness(gone.server);
     }
 
+    /// Repeats releases that were written on a connection which is lost, as the switch may not have read
+    /// them. Not those of a call that has been sent to the switch again meanwhile: they would end it.
+    fn repeat_releases(&mut self, server: ServerId, releases: impl IntoIterator<Item = (Tag, i64)>) {
+        for (tag, rc) in releases {
+            let attempt = self.calls.open.get(&tag).and_then(|call| call.attempt);
+            let established = self.calls.established.get(&tag);
+            let current = attempt.map(|a| a.server).or(established.map(|call| call.server));
+            if current != Some(server) {
+                self.release_at_switch(server, tag, rc);
+            }
+        }
+    }
+
     /// Processes a message from a core switch.
     pub(super) fn link_message(&mut self, link: LinkId, message: Message) {
-        let Some(l) = self.links.links.get(&link) else { return };
-        let (server, tag, now) = (l.server, message.tag, self.now);
+        let now = self.now;
+        let tag = message.tag;
+        let Some((server, was_unresponsive)) = self.links.message_received(now, link) else { return };
+        if was_unresponsive {
+            self.send_waiting_messages(server, link);
+        }
         let finish = message.verb == Verb::Finish;
         let was_established = finish && self.calls.established.get(&tag).is_some_and(|s| s.server == server);
         let evidence = match message.verb {
@@ -139,6 +189,9 @@
             .get(&tag)
             .and_then(|c| c.attempt)
             .filter(|a| a.sent.is_some_and(|sent| sent.link == link));
+        if let Some(sent) = current_attempt.and_then(|a| a.sent) {
+            self.question_answered(link, sent.at);
+        }
         match message.verb {
             Verb::Started => {
                 let Some(attempt) = current_attempt else { return self.late_answer(link, server, tag) };
@@ -176,9 +229,11 @@
                 }
             }
             Verb::Echoed => {
-                if let Some(probe) = self.probes.remove(&tag)
-                    && probe.by_controller
-                {
+                let Some(probe) = self.probes.remove(&tag) else { return };
+                if probe.link == link {
+                    self.question_answered(link, probe.sent_at);
+                }
+                if probe.by_controller {
                     let (ok, took) = (message.rc == Some(TEST_PASSED), now.since(probe.sent_at));
                     let report = report.unwrap_or_default();
                     self.events.push_back(Event::Probed { server: probe.server, ok, took, report });
@@ -210,14 +265,23 @@
         }
     }
 
-    /// Sends a probe; `false` if there is no connection for it.
+    /// Sends a probe to a core switch; `false` if there is no connection for it.
     pub(super) fn probe(&mut self, server: ServerId, by_controller: bool) -> bool {
-        let Some(link) = self.links.choose_for_release(server) else { return false };
+        let Some(link) = self.links.choose_for_probe(self.now, server) else { return false };
+        self.probe_link(server, link, by_controller);
+        true
+    }
+
+    /// Sends a probe on this connection.
+    pub(super) fn probe_link(&mut self, server: ServerId, link: LinkId, by_controller: bool) {
         let now = self.now;
+        if let Some(link) = self.links.links.get_mut(&link) {
+            link.health.probed(now);
+        }
         self.probes.retain(|_, probe| now.since(probe.sent_at) < PROBE_TIMEOUT);
         let tag = Tag(self.rng.next_u64());
-        self.probes.insert(tag, Probe { server, sent_at: now, by_controller });
+        self.probes.insert(tag, Probe { server, link, sent_at: now, by_controller });
+        self.counters.probes += 1;
         self.send_to_switch(link, &Message::new(Verb::Echo, tag).with_cause(0));
-        true
     }
 }
--- a/crates/fawnrouter-node/src/node/switch_list.rs
+++ b/crates/fawnrouter-node/src/node/switch_list.rs
@@ -33,6 +33,7 @@
         }
         self.timers.clear(TimerKey::Redial(server));
         self.timers.clear(TimerKey::LivenessCheck(server));
+        self.timers.clear(TimerKey::LinkCheck(server));
     }
 
     /// Applies a list, unless it is not newer than the last one.
