Tell the end of a call on any connection that is known to be a caller's

Cause: `most_recent_caller` took a connection for a caller's only if a call had stood on it, and the release waited in `pending_notices` for such a one until it was dropped after 10 s. Ruled out by the record: the release came and was confirmed at 9.7 s, and the caller's second connection was answered before and after.

Change: a connection is a caller's too if a core switch found the number busy that was called on it, or its client released an established call or confirmed a release; waiting releases go there as soon as it is known. After 6 s, before the limit of 8 s, any connection that has sent a valid set-up is used, as bad clients send those as well. A release that is dropped is logged.

--- a/crates/fawnrouter-node/src/client_connections.rs
+++ b/crates/fawnrouter-node/src/client_connections.rs
@@ -1,9 +1,14 @@
 //! Which client connection is closed, when and why.
 //!
 //! A connection with an open set-up is never closed to make room or for silence. When room is needed the
-//! others go in this order: those that never sent a whole message, those without a call, those that had one,
-//! those on which the release of an established call is still to be sent; among equals the one that has been
-//! idle longest.
+//! others go in this order: those that never sent a whole message, those that sent no set-up, those without a
+//! call, those that had one, those on which the release of an established call is still to be sent; among
+//! equals the one that has been idle longest.
+//!
+//! The callers are one party, so the release of a call whose connection is gone can be sent on another
+//! connection, but only on a caller's: other clients send set-ups too, whatever they are worth. A connection
+//! is a caller's once a core switch has dealt with a call on it as such ([`Usage::ReachedNumber`]), or its
+//! client has shown that it knows an established call ([`Usage::CarriedCall`]).
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,9 +29,13 @@
 enum Usage {
     /// It has not sent a whole message.
     Silent,
-    /// It has sent a message, but none of its calls was established.
+    /// It has sent a message, but no valid set-up.
     SentMessage,
-    /// A call was established on it, or reported on it as established.
+    /// It has sent a valid set-up.
+    SentSetUp,
+    /// A core switch has looked for the number that was called on it, and found it busy.
+    ReachedNumber,
+    /// A call was established on it, or its client has reported, released or confirmed an established call.
     CarriedCall,
 }
 
@@ -113,6 +122,27 @@
         }
     }
 
+    fn raise_usage(&mut self, client: ClientId, usage: Usage) {
+        if let Some(connection) = self.connections.get_mut(&client) {
+            connection.usage = connection.usage.max(usage);
+        }
+    }
+
+    /// Records that a valid set-up arrived.
+    pub fn set_up_received(&mut self, client: ClientId) {
+        self.raise_usage(client, Usage::SentSetUp);
+    }
+
+    /// Records that a core switch found the number busy that was called on the connection.
+    pub fn number_reached(&mut self, client: ClientId) {
+        self.raise_usage(client, Usage::ReachedNumber);
+    }
+
+    /// Records that the client knows an established call: it has released it or confirmed its release.
+    pub fn established_call_known(&mut self, client: ClientId) {
+        self.raise_usage(client, Usage::CarriedCall);
+    }
+
     /// Records whether an incomplete line is left after a read. Each read that leaves one restarts the time
     /// of a connection that has sent a message before, so that a caller whose process is slow to be scheduled
     /// is not cut off.
@@ -155,12 +185,21 @@
         }
     }
 
-    /// The connection on which the end of an established call is reported when the caller's own connection is
-    /// gone. All callers are one party, and an established call is bound to no connection. Chooses the most
-    /// recently used connection on which a call was established; clients that only connect are sent nothing.
+    /// The connection for releases of calls whose own connection is gone: of those that are known to be
+    /// callers', the most recently used one of the best.
     pub fn most_recent_caller(&self) -> Option<ClientId> {
-        let served = self.connections.iter().filter(|(_, c)| c.usage == Usage::CarriedCall);
-        served.max_by_key(|(id, c)| (c.idle_since, **id)).map(|(id, _)| *id)
+        self.most_recent_with(Usage::ReachedNumber)
+    }
+
+    /// As [`Self::most_recent_caller`], or else the most recently used connection that has sent a valid
+    /// set-up, which is a caller's as far as is known.
+    pub fn most_recent_set_up_sender(&self) -> Option<ClientId> {
+        self.most_recent_with(Usage::SentSetUp)
+    }
+
+    fn most_recent_with(&self, least: Usage) -> Option<ClientId> {
+        let used = self.connections.iter().filter(|(_, c)| c.usage >= least);
+        used.max_by_key(|(id, c)| (c.usage, c.idle_since, **id)).map(|(id, _)| *id)
     }
 }
 
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -47,6 +47,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long releases wait for a caller's connection: the platform's limit of 8 s and a margin.
 const PENDING_NOTICE_LIFETIME: Duration = Duration::from_secs(10);
+/// Time after which a release that waits for a caller's connection is sent on one that has only sent set-ups:
+/// it may be another client's, but the limit of 8 s is near.
+const PENDING_NOTICE_LAST_RESORT: Duration = Duration::from_secs(6);
 /// Most releases that wait for a caller's connection.
 const MAX_PENDING_NOTICES: usize = 4096;
 
@@ -392,8 +395,7 @@
         for link in self.links.links_idle_too_long(self.now).into_iter().chain(unused) {
             self.close_link(link);
         }
-        let now = self.now;
-        self.pending_notices.retain(|notice| now.since(notice.since) < PENDING_NOTICE_LIFETIME);
+        self.check_pending_notices();
         for server in self.servers.keys().copied().collect::<Vec<_>>() {
             self.forget_if_unused(server);
         }
--- a/crates/fawnrouter-node/src/node/callers.rs
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -7,8 +7,8 @@
 
 use super::attempts::encode_line;
 use super::{
-    CLIENT_RECHECK_INTERVAL, FINAL_ANSWER_MARGIN, MAX_PENDING_NOTICES, Node, Output, PendingNotice,
-    TEST_FAILED, TEST_PASSED, TimerKey,
+    CLIENT_RECHECK_INTERVAL, FINAL_ANSWER_MARGIN, MAX_PENDING_NOTICES, Node, Output,
+    PENDING_NOTICE_LAST_RESORT, PENDING_NOTICE_LIFETIME, PendingNotice, TEST_FAILED, TEST_PASSED, TimerKey,
 };
 use crate::calls::{EndedCall, EstablishedCall, MAX_ESTABLISHED_CALLS, OpenCall};
 use crate::client_connections::{Admission, ClientId};
@@ -64,17 +64,53 @@
         self.schedule_client_check(client);
     }
 
-    /// Counts a call established for this client. Releases that waited for a caller's connection are sent on
-    /// it.
+    /// Counts a call established for this client.
     pub(super) fn call_established_for(&mut self, client: ClientId) {
         self.client_connections.count_established(client, true);
-        if self.client_connections.contains(client) {
+        self.send_pending_notices();
+    }
+
+    /// A core switch has found the number busy that this client called.
+    pub(super) fn number_found_busy(&mut self, client: ClientId) {
+        self.client_connections.number_reached(client);
+        self.send_pending_notices();
+    }
+
+    /// A client has released an established call, or confirmed its release.
+    fn established_call_known_to(&mut self, client: ClientId) {
+        self.client_connections.established_call_known(client);
+        self.send_pending_notices();
+    }
+
+    /// Sends the releases that wait for a caller's connection, if there is one.
+    fn send_pending_notices(&mut self) {
+        if self.pending_notices.is_empty() {
+            return;
+        }
+        if let Some(client) = self.client_connections.most_recent_caller() {
             for PendingNotice { tag, line, .. } in std::mem::take(&mut self.pending_notices) {
                 self.outputs.push(Output::ToCaller { client, tag, line });
             }
         }
     }
 
+    /// Sends releases that have waited long on the connection of whoever has sent a set-up, and drops those
+    /// that have waited too long.
+    pub(super) fn check_pending_notices(&mut self) {
+        let now = self.now;
+        let client = self.client_connections.most_recent_set_up_sender();
+        for notice in std::mem::take(&mut self.pending_notices) {
+            let waited = now.since(notice.since);
+            match client.filter(|_| waited >= PENDING_NOTICE_LAST_RESORT) {
+                Some(client) => {
+                    self.outputs.push(Output::ToCaller { client, tag: notice.tag, line: notice.line });
+                }
+                None if waited < PENDING_NOTICE_LIFETIME => self.pending_notices.push_back(notice),
+                None => self.log(format!("no caller is connected to be told the end of call {}", notice.tag)),
+            }
+        }
+    }
+
     /// Sets the timer for the check whether the client is overdue.
     pub(super) fn schedule_client_check(&mut self, client: ClientId) {
         match self.client_connections.silence_deadline(client) {
@@ -188,7 +224,12 @@
                 let rc = if self.stop_requested_at.is_none() { TEST_PASSED } else { TEST_FAILED };
                 self.send_to_client(client, &Message::new(Verb::Echoed, tag).with_cause(rc));
             }
-            Verb::Pending | Verb::Finished | Verb::Echoed | Verb::Load => {}
+            Verb::Finished => {
+                if self.calls.recently_ended.get(tag).is_some_and(|call| call.release_cause.is_some()) {
+                    self.established_call_known_to(client);
+                }
+            }
+            Verb::Pending | Verb::Echoed | Verb::Load => {}
             Verb::Started | Verb::Other => {
                 self.counters.invalid += 1;
                 let tag = Some(tag).filter(|tag| !self.is_known_call(*tag));
@@ -285,6 +326,7 @@
                 return self.send_to_client(client, &wrong(rc));
             }
         };
+        self.client_connections.set_up_received(client);
         // The guard time of a recently withdrawn tag applies to every caller.
         let barred = self
             .calls
@@ -358,6 +400,7 @@
             self.report_established_end(tag, call, Outcome::Cancelled);
             self.release_at_switch(call.server, tag, rc);
             self.send_to_client(client, &Message::new(Verb::Finished, tag));
+            self.established_call_known_to(client);
         } else if self.calls.recently_ended.contains(tag) {
             self.send_to_client(client, &Message::new(Verb::Finished, tag));
         } else {
--- a/crates/fawnrouter-node/src/node/switch_links.rs
+++ b/crates/fawnrouter-node/src/node/switch_links.rs
@@ -218,6 +218,11 @@
                         _ => Outcome::Reset,
                     };
                     let answered = outcome != Outcome::Reset;
+                    if detail == OutcomeDetail::NumberBusy
+                        && let Some(client) = self.calls.open.get(&tag).map(|call| call.client)
+                    {
+                        self.number_found_busy(client);
+                    }
                     return self.end_attempt(tag, outcome, detail, report.unwrap_or_default(), answered);
                 }
                 if was_established {
