Test of unwritten set-ups: the switch that does not read goes on sending

Cause: the test's switch neither reads nor sends for seconds while set-ups on its one connection go unanswered.

Change: the switch reports its state before each set-up, so its connection is not in doubt although it does not read; each report is read by the gateway before the next set-up, by the kernel's queues. All checks, bounds and sizes are as before.

--- a/crates/fawnrouterd/tests/switch_list.rs
+++ b/crates/fawnrouterd/tests/switch_list.rs
@@ -344,28 +344,47 @@
     new.assert_no_set_up("each was sent once");
 }
 
-/// Bytes written to connections to this address and not yet read there: the sum of the send queues and the
-/// receive queues in the kernel (proc_net_tcp(5)).
-fn kernel_queued_bytes(address: SocketAddr) -> usize {
-    let port = format!("{:04X}", address.port());
+/// The bytes in the kernel's queues of one end of an established connection (proc_net_tcp(5)).
+struct SocketQueues {
+    /// Whether this is the end of the party that listens at the address.
+    is_listening_end: bool,
+    unsent: usize,
+    unread: usize,
+}
+
+/// The queues of both ends of all established connections to this address.
+fn kernel_queues(address: SocketAddr) -> Vec<SocketQueues> {
+    let port = format!(":{:04X}", address.port());
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let rows = table
-        .lines()
-        .filter(|line| line.contains(&port))
-        .map(|line| line.split_whitespace().collect::<Vec<_>>());
-    rows.filter(|row| row[3] == "01")
-        .map(|row| {
-            let (unsent, unread) = row[4].split_once(':').unwrap();
+    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let established = rows.filter(|row| row[3] == "01");
+    established
+        .filter_map(|row| {
+            let is_listening_end = row[1].ends_with(&port);
+            let (unsent, unread) = row[4].split_once(':')?;
             let bytes = |hex| usize::from_str_radix(hex, 16).unwrap();
-            if row[2].ends_with(&port) {
-                bytes(unsent)
-            } else if row[1].ends_with(&port) {
-                bytes(unread)
-            } else {
-                0
-            }
+            let queues = SocketQueues { is_listening_end, unsent: bytes(unsent), unread: bytes(unread) };
+            (is_listening_end || row[2].ends_with(&port)).then_some(queues)
         })
-        .sum()
+        .collect()
+}
+
+/// Bytes written to connections to this address and not yet read there: the sum of the send queues and the
+/// receive queues.
+fn kernel_queued_bytes(address: SocketAddr) -> usize {
+    let queues = kernel_queues(address).into_iter();
+    queues.map(|q| if q.is_listening_end { q.unread } else { q.unsent }).sum()
+}
+
+/// Waits until the gateway has read all that this switch has written to it: nothing is unacknowledged at the
+/// switch, and nothing unread at the gateway.
+fn wait_until_gateway_has_read(switch: SocketAddr) {
+    let end = Instant::now() + TIMEOUT;
+    let is_under_way = |q: &SocketQueues| if q.is_listening_end { q.unsent > 0 } else { q.unread > 0 };
+    while kernel_queues(switch).iter().any(is_under_way) {
+        assert!(Instant::now() < end, "the gateway does not read");
+        std::thread::sleep(Duration::from_millis(1));
+    }
 }
 
 /// Waits until `kernel_queued_bytes` no longer changes and returns it. Bytes that have arrived count at both
@@ -421,11 +440,20 @@
     }
     caller.send(&finish_message("f111000000000000"));
     assert_eq!(caller.receive().unwrap()["verb"], "FINISHED");
+    // The switch sends, though it does not read: a connection without any message would be taken for dead, and
+    // the set-ups would go on another one.
+    let report_state = |connection: &TcpStream| {
+        let report =
+            json!({"verb": "LOAD", "tag": "0000000000000000", "opts": {"load": "free:200;size:200"}});
+        send_line(connection, &report);
+        wait_until_gateway_has_read(at);
+    };
     // These calls are released as soon as they are written, so that only their bytes remain.
     let body_length = 15_000;
     let before = stable_queued_bytes(at);
     let mut bytes_per_round = 0;
     for n in 1.. {
+        report_state(&connection);
         let tag = format!("f1110000{n:08x}");
         caller.send(&start(&tag, body_length));
         wait_until_handled(&mut caller);
@@ -442,6 +470,7 @@
         assert!(n < 1000, "the connection never fills up");
     }
     let held = stable_queued_bytes(at);
+    report_state(&connection);
     let tags: BTreeSet<String> = (0..3).map(|n| format!("0000000000000c0{n}")).collect();
     for tag in &tags {
         caller.send(&start(tag, 1000));
