Use the name server's answer to any open query, however late it comes

Seen: a name server that takes 1.2 s for an answer was never heard.

Cause: queries go out every 250 ms and only the last four could be answered (`MAX_OPEN_QUERIES`), so each answer was to a forgotten one. Ruled out by the log: each answer came, and was dropped with "the response matches no open query".

Whether an answer is news is decided by its serial, as before.

--- a/crates/fawnrouter-node/tests/edges.rs
+++ b/crates/fawnrouter-node/tests/edges.rs
@@ -55,6 +55,27 @@
     assert!(ask.accept_response(&last).is_ok());
 }
 
+/// Guards against a list that stays as it was because the name server takes longer for each response than the
+/// last few queries go back.
+#[test]
+fn response_is_accepted_however_long_the_name_server_takes() {
+    // The page sets no limit; a name server may at least take as long as it may be silent.
+    for delay_ms in [1200, 4500, 30_000, 60_000] {
+        let (mut ask, mut now, mut under_way) = (Ask::new(), 0, Vec::new());
+        for id in 0u16.. {
+            let query = ask.next_query(Time(Duration::from_millis(now)), id);
+            under_way.push((now + delay_ms, query.datagram));
+            now = query.next_at.0.as_millis() as u64;
+            if under_way[0].0 <= now {
+                break;
+            }
+        }
+        let (_, response) = &mut under_way[0];
+        response[2] = 0x80;
+        assert!(ask.accept_response(response).is_ok(), "{delay_ms} ms");
+    }
+}
+
 #[test]
 fn list_change_takes_effect_at_once_for_held_waiting_and_new_calls() {
     let ready = [("s-1", 7001, "Ready", 0), ("s-2", 7002, "Ready", 0)];
--- a/crates/fawnrouterd/tests/switch_list.rs
+++ b/crates/fawnrouterd/tests/switch_list.rs
@@ -124,8 +124,7 @@
         self.next_queries(3);
     }
 
-    /// Stops the gateway (SIGSTOP) after so many more queries. Returns these and all that it still sent; the
-    /// gateway accepts responses to the last four.
+    /// Stops the gateway (SIGSTOP) after so many more queries. Returns these and all that it still sent.
     fn stop_gateway_after(&self, gateway: &Gateway, after: usize) -> Vec<Query> {
         let mut queries = self.next_queries(after);
         gateway.send_signal(Signal::STOP);
@@ -848,6 +847,24 @@
     two.assert_no_connection("it is not on the newest list");
 }
 
+/// Guards against set-ups to a draining switch, and none to its successor, because a slow name server's
+/// responses come after later queries and are dropped.
+#[test]
+fn response_that_comes_many_queries_late_is_used() {
+    let (one, two) = (Switch::new(), Switch::new());
+    let name_server = ScriptedNameServer::serving(switch_list(1, [ready_record("s-1", one.address)]));
+    let gateway =
+        Gateway::start("list-slow", &config_with_short_grace(&name_server, &[("s-1", one.address)]));
+    name_server.wait_until_read();
+    name_server.respond_with(|_| Vec::new());
+    let queries = name_server.next_queries(10);
+    let list = switch_list(2, [draining_record("s-1", one.address), ready_record("s-2", two.address)]);
+    name_server.send(queries[0].from, &list.response_to(&queries[0].datagram));
+    name_server.wait_until_read();
+    establish_call_at(&mut gateway.connect_caller(), CALL_ID, &two);
+    one.assert_no_set_up("it drains");
+}
+
 #[test]
 fn of_out_of_order_responses_only_newer_lists_are_applied() {
     let switches: Vec<Switch> = (0..4).map(|_| Switch::new()).collect();
