--- a/crates/fawnrouter-node/src/link_health.rs
+++ b/crates/fawnrouter-node/src/link_health.rs
@@ -108,6 +108,11 @@
         self.probed_at = self.probed_at.or(Some(now));
     }
 
+    /// Whether a probe was sent so recently that its answer may be on its way.
+    pub fn awaits_probe(&self, now: Time) -> bool {
+        self.probed_at.is_some_and(|probed_at| now.since(probed_at) < PROBE_ANSWER_TIME)
+    }
+
     /// How far the connection can be relied on.
     pub fn status(&self, now: Time) -> LinkStatus {
         match (self.probed_at, self.doubted_since) {
@@ -188,6 +193,7 @@
         health.probed(at(1000));
         health.probed(at(1400));
         assert_eq!(health.status(at(1499)), LinkStatus::Trusted, "an answer takes some time");
+        assert!(health.awaits_probe(at(1499)) && !health.awaits_probe(at(1500)));
         assert_eq!(health.status(at(1500)), LinkStatus::Unresponsive);
         assert_eq!(health.check(at(1499), true, None), LinkCheck::CheckAgain(at(1500)));
         assert_eq!(health.check(at(1999), true, Some(at(1500))), LinkCheck::CheckAgain(at(2000)));
--- a/crates/fawnrouter-node/src/node/switch_links.rs
+++ b/crates/fawnrouter-node/src/node/switch_links.rs
@@ -273,7 +273,10 @@
     /// Sends a probe to a core switch; `false` if there is no connection for it.
     pub(super) fn probe(&mut self, server: ServerId, by_controller: bool) -> bool {
         let Some(link) = self.links.choose_for_probe(self.now, server) else { return false };
-        self.probe_link(server, link, by_controller);
+        let just_probed = self.links.links.get(&link).is_some_and(|l| l.health.awaits_probe(self.now));
+        if by_controller || !just_probed {
+            self.probe_link(server, link, by_controller);
+        }
         true
     }
 
