Test with answers lost at random: callers are told in time at any pace of calls

The stand-in switches follow the protocol page in virtual time: 1 to 3 of them, answers after 20 to 220 ms, a set-up every 20 to 620 ms on average, a lost answer every 3 to 15 s.

--- a/crates/fawnrouter-node/tests/dead_connections.rs
+++ b/crates/fawnrouter-node/tests/dead_connections.rs
@@ -254,6 +254,53 @@
     }
 }
 
+/// A sequence of pseudo-random numbers (Knuth's linear congruential generator).
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % limit
+    }
+}
+
+/// Guards against callers that are told late or never where answers get lost again and again, at any pace of
+/// calls and with any number of switches.
+#[test]
+fn callers_are_told_in_time_although_answers_get_lost_at_random() {
+    let seeds: u64 = std::env::var("DEAD_CONNECTION_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(12);
+    let first: u64 = std::env::var("DEAD_CONNECTION_FIRST").ok().and_then(|n| n.parse().ok()).unwrap_or(1);
+    let mut failed = Vec::new();
+    for seed in first..first + seeds {
+        let mut random = Random(seed);
+        let (count, answer_ms) = (1 + random.below(3) as u16, 20 + random.below(200));
+        let (mean_pause_ms, mean_loss_ms) = (20 + random.below(600), 3000 + random.below(12_000));
+        let mut switches = Switches::new(count, answer_ms);
+        let mut ends: Vec<(u64, u64)> = Vec::new();
+        let mut next_loss = switches.harness.now_ms + 3000;
+        let stop = switches.harness.now_ms + 45_000;
+        while switches.harness.now_ms < stop {
+            if switches.harness.now_ms >= next_loss {
+                switches.lose_next_answer = true;
+                next_loss += random.below(2 * mean_loss_ms);
+            }
+            let call = switches.set_up();
+            ends.push((switches.harness.now_ms + 500 + random.below(25_000), call));
+            switches.run(1 + random.below(2 * mean_pause_ms));
+            let now = switches.harness.now_ms;
+            ends.iter().filter(|(at, _)| *at <= now).for_each(|(_, call)| switches.end_call(*call));
+            ends.retain(|(at, _)| *at > now);
+        }
+        switches.run(10_000);
+        let late = switches.late_releases().len();
+        if late > 0 || switches.harness.node.counters().calls_lost > 0 {
+            let cost = switches.cost_since(START_MS);
+            failed.push(format!("seed {seed}: {count} switches, answers after {answer_ms} ms, a set-up every {mean_pause_ms} ms, a loss every {mean_loss_ms} ms: {late} late of {}, {} lost, {cost:?}", switches.ended.len(), switches.harness.node.counters().calls_lost));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
 /// Guards against a switch that is cut off, or sent set-ups in vain, because it has forgotten its only
 /// connection, on which nothing stands.
 #[test]
