Node: a file each for one connection, messages of core switches and caller notices

Change: link.rs (one connection), node/switch_messages.rs (a function for each kind of message), node/caller_notices.rs (releases to callers).

--- a/crates/fawnrouter-node/src/lib.rs
+++ b/crates/fawnrouter-node/src/lib.rs
@@ -22,6 +22,7 @@
 mod client_connections;
 mod descriptor_shares;
 mod inbox;
+mod link;
 mod link_health;
 mod links;
 mod list_query;
--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -18,7 +18,8 @@
 use fawnrouter_jsonl::Tag;
 use fawnrouter_machine::{Backoff, BackoffSettings};
 
-use crate::link_health::{LinkCheck, LinkHealth, LinkStatus};
+use crate::link::Link;
+use crate::link_health::{LinkCheck, LinkStatus};
 
 /// A connection to a core switch. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -46,12 +47,6 @@
 /// Fraction of the platform's idle timeout after which an idle connection is replaced, so that no set-up
 /// crosses the switch's close.
 const IDLE_REPLACE_FRACTION: f64 = 0.7;
-/// How long a connection remembers attempts that ended without the switch's answer.
-const ENDED_ATTEMPT_LIFETIME: Duration = Duration::from_secs(12);
-/// Most ended attempts that one connection remembers.
-const MAX_ENDED_ATTEMPTS: usize = 256;
-/// Most releases of one connection that are repeated on another one.
-const MAX_UNCONFIRMED_RELEASES: usize = 256;
 /// Most releases that wait for a connection to one core switch. Beyond that the oldest are dropped unsent.
 const MAX_PENDING_RELEASES: usize = 1024;
 
@@ -66,86 +61,6 @@
     None,
 }
 
-/// An attempt that the gateway has ended and the core switch has not answered.
-#[derive(Clone, Copy, Debug)]
-struct EndedAttempt {
-    ended_at: Time,
-    tag: Tag,
-    /// The core switch has been sent a release for it.
-    released: bool,
-}
-
-#[derive(Debug)]
-pub(crate) struct Link {
-    pub server: ServerId,
-    pub up: bool,
-    /// Set-ups sent on this connection that are still open.
-    pub open_set_ups: BTreeSet<Tag>,
-    /// Established calls whose set-up was sent on this connection: the switch releases them on it.
-    pub established_calls: usize,
-    pub health: LinkHealth,
-    /// Releases written since a message was last received. If the connection is lost, the switch may not have
-    /// read them.
-    unconfirmed_releases: VecDeque<(Tag, i64)>,
-    ended_attempts: VecDeque<EndedAttempt>,
-    last_used: Time,
-}
-
-impl Link {
-    /// Registers a set-up that is sent on this connection.
-    pub fn start_attempt(&mut self, now: Time, tag: Tag) {
-        if self.open_set_ups.is_empty() && self.established_calls == 0 {
-            self.health.use_begins(now);
-        }
-        self.open_set_ups.insert(tag);
-    }
-
-    /// Registers a release that is written on this connection.
-    pub fn release_sent(&mut self, tag: Tag, cause: i64) {
-        self.unconfirmed_releases.push_back((tag, cause));
-        if self.unconfirmed_releases.len() > MAX_UNCONFIRMED_RELEASES {
-            self.unconfirmed_releases.pop_front();
-        }
-    }
-
-    /// Takes the releases that the switch may not have read.
-    pub fn take_unconfirmed_releases(&mut self) -> VecDeque<(Tag, i64)> {
-        std::mem::take(&mut self.unconfirmed_releases)
-    }
-
-    /// Ends an attempt on this connection. Unless the core switch has `answered`, a late answer may still
-    /// arrive; `released` says that a release is being sent to the switch now.
-    pub fn end_attempt(&mut self, now: Time, tag: Tag, answered: bool, released: bool) {
-        if !self.open_set_ups.remove(&tag) {
-            return;
-        }
-        self.last_used = now;
-        if answered {
-            return;
-        }
-        if released {
-            self.health.attempt_unanswered(now);
-        }
-        self.ended_attempts.push_back(EndedAttempt { ended_at: now, tag, released });
-        while self.ended_attempts.len() > MAX_ENDED_ATTEMPTS
-            || self.ended_attempts.front().is_some_and(|s| now.since(s.ended_at) > ENDED_ATTEMPT_LIFETIME)
-        {
-            self.ended_attempts.pop_front();
-        }
-    }
-
-    fn carried_attempt_of(&self, tag: Tag) -> bool {
-        self.open_set_ups.contains(&tag) || self.ended_attempts.iter().any(|s| s.tag == tag)
-    }
-
-    /// Whether a late answer to an ended attempt must be released. True once per attempt, which is then
-    /// marked as released.
-    pub fn take_late_release(&mut self, tag: Tag) -> bool {
-        let unreleased = self.ended_attempts.iter_mut().find(|s| s.tag == tag && !s.released);
-        unreleased.is_some_and(|s| !std::mem::replace(&mut s.released, true))
-    }
-}
-
 /// The connections to one core switch.
 #[derive(Debug)]
 pub(crate) struct SwitchLinks {
@@ -350,17 +265,7 @@
         self.next_id += 1;
         let id = LinkId(self.next_id);
         let replaces = self.links_to(server).any(|(_, l)| l.health.status(now) == LinkStatus::Unresponsive);
-        let link = Link {
-            server,
-            up: false,
-            open_set_ups: BTreeSet::new(),
-            established_calls: 0,
-            health: LinkHealth::new(now),
-            unconfirmed_releases: VecDeque::new(),
-            ended_attempts: VecDeque::new(),
-            last_used: now,
-        };
-        self.links.insert(id, link);
+        self.links.insert(id, Link::new(now, server));
         if let Some(switch) = self.switches.get_mut(&server) {
             switch.links.insert(id);
             if replaces {
@@ -374,8 +279,7 @@
     /// Marks the connection as up and returns the core switch that it leads to.
     pub fn link_up(&mut self, now: Time, id: LinkId) -> Option<ServerId> {
         let link = self.links.get_mut(&id)?;
-        (link.up, link.last_used) = (true, now);
-        link.health.use_begins(now);
+        link.connected(now);
         if let Some(switch) = self.switches.get_mut(&link.server) {
             switch.backoff.reset();
         }
@@ -386,9 +290,7 @@
     /// connection had been taken for unresponsive.
     pub fn message_received(&mut self, now: Time, id: LinkId) -> Option<(ServerId, bool)> {
         let link = self.links.get_mut(&id)?;
-        let was_unresponsive = link.health.status(now) == LinkStatus::Unresponsive;
-        link.health.received(now);
-        link.unconfirmed_releases.clear();
+        let was_unresponsive = link.message_received(now) == LinkStatus::Unresponsive;
         if let Some(switch) = self.switches.get_mut(&link.server) {
             (switch.replacement_pause, switch.next_replacement_at) = (REPLACEMENT_PAUSE, now);
         }
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -2,6 +2,7 @@
 //! connections to core switches, established calls, callers, the list and the shutdown have a file each.
 
 mod attempts;
+mod caller_notices;
 mod callers;
 mod established;
 mod interface;
@@ -9,6 +10,7 @@
 mod shutdown;
 mod switch_links;
 mod switch_list;
+mod switch_messages;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -23,6 +25,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 
+use self::caller_notices::PendingNotice;
 pub use self::interface::{Counters, Input, LinkEnd, NodeSettings, Output};
 use crate::calls::Calls;
 use crate::client_connections::{ClientConnections, ClientId};
@@ -45,13 +48,6 @@
 const HOUSEKEEPING_IDLE_FRACTION: f64 = 0.1;
 /// A probe without an answer is forgotten after this time.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long releases wait for a caller's connection: the platform's limit of 8 s and a margin.
-const PENDING_NOTICE_LIFETIME: Duration = Duration::from_secs(10);
-/// Time after which a release that waits for a caller's connection is sent on one that has only sent set-ups:
-/// it may be another client's, but the limit of 8 s is near.
-const PENDING_NOTICE_LAST_RESORT: Duration = Duration::from_secs(6);
-/// Most releases that wait for a caller's connection.
-const MAX_PENDING_NOTICES: usize = 4096;
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,14 +63,6 @@
     Shutdown,
 }
 
-/// A release of an established call that waits for a caller's connection.
-#[derive(Debug)]
-struct PendingNotice {
-    since: Time,
-    tag: Tag,
-    line: Vec<u8>,
-}
-
 /// A probe (an ECHO) sent to a core switch and not answered yet.
 #[derive(Debug)]
 struct Probe {
--- a/crates/fawnrouter-node/src/node/callers.rs
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -6,10 +6,7 @@
 use fawnrouter_jsonl::{DecodeError, Message, Tag, Verb};
 
 use super::attempts::encode_line;
-use super::{
-    CLIENT_RECHECK_INTERVAL, FINAL_ANSWER_MARGIN, MAX_PENDING_NOTICES, Node, Output,
-    PENDING_NOTICE_LAST_RESORT, PENDING_NOTICE_LIFETIME, PendingNotice, TEST_FAILED, TEST_PASSED, TimerKey,
-};
+use super::{CLIENT_RECHECK_INTERVAL, FINAL_ANSWER_MARGIN, Node, Output, TEST_FAILED, TEST_PASSED, TimerKey};
 use crate::calls::{EndedCall, EstablishedCall, MAX_ESTABLISHED_CALLS, OpenCall};
 use crate::client_connections::{Admission, ClientId};
 use crate::request::{self, Request, cause};
@@ -70,47 +67,6 @@
         self.send_pending_notices();
     }
 
-    /// A core switch has found the number busy that this client called.
-    pub(super) fn number_found_busy(&mut self, client: ClientId) {
-        self.client_connections.number_reached(client);
-        self.send_pending_notices();
-    }
-
-    /// A client has released an established call, or confirmed its release.
-    fn established_call_known_to(&mut self, client: ClientId) {
-        self.client_connections.established_call_known(client);
-        self.send_pending_notices();
-    }
-
-    /// Sends the releases that wait for a caller's connection, if there is one.
-    fn send_pending_notices(&mut self) {
-        if self.pending_notices.is_empty() {
-            return;
-        }
-        if let Some(client) = self.client_connections.most_recent_caller() {
-            for PendingNotice { tag, line, .. } in std::mem::take(&mut self.pending_notices) {
-                self.outputs.push(Output::ToCaller { client, tag, line });
-            }
-        }
-    }
-
-    /// Sends releases that have waited long on the connection of whoever has sent a set-up, and drops those
-    /// that have waited too long.
-    pub(super) fn check_pending_notices(&mut self) {
-        let now = self.now;
-        let client = self.client_connections.most_recent_set_up_sender();
-        for notice in std::mem::take(&mut self.pending_notices) {
-            let waited = now.since(notice.since);
-            match client.filter(|_| waited >= PENDING_NOTICE_LAST_RESORT) {
-                Some(client) => {
-                    self.outputs.push(Output::ToCaller { client, tag: notice.tag, line: notice.line });
-                }
-                None if waited < PENDING_NOTICE_LIFETIME => self.pending_notices.push_back(notice),
-                None => self.log(format!("no caller is connected to be told the end of call {}", notice.tag)),
-            }
-        }
-    }
-
     /// Sets the timer for the check whether the client is overdue.
     pub(super) fn schedule_client_check(&mut self, client: ClientId) {
         match self.client_connections.silence_deadline(client) {
@@ -418,24 +374,6 @@
             self.outputs.push(Output::ToClient { client, line: encode_line(message) });
         }
     }
-
-    /// Notifies the caller of an established call of its end; if the caller's connection is gone, on another
-    /// connection or the next one.
-    pub(super) fn notify_release(&mut self, client: Option<ClientId>, tag: Tag, rc: i64) {
-        let line = encode_line(&Message::new(Verb::Finish, tag).with_cause(rc));
-        match client
-            .filter(|client| self.client_connections.contains(*client))
-            .or_else(|| self.client_connections.most_recent_caller())
-        {
-            Some(client) => self.outputs.push(Output::ToCaller { client, tag, line }),
-            None => {
-                self.pending_notices.push_back(PendingNotice { since: self.now, tag, line });
-                if self.pending_notices.len() > MAX_PENDING_NOTICES {
-                    self.pending_notices.pop_front();
-                }
-            }
-        }
-    }
 }
 
 /// An error message without a tag.
--- a/crates/fawnrouter-node/src/node/switch_links.rs
+++ b/crates/fawnrouter-node/src/node/switch_links.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use fawnrouter::{Event, Outcome, OutcomeDetail, ServerId, ServerState};
+use fawnrouter::{Outcome, OutcomeDetail, ServerId, ServerState};
 use fawnrouter_jsonl::{Message, Tag, Verb};
 use rand_core::RngCore;
 
-use super::{LinkEnd, Node, Output, PROBE_TIMEOUT, Probe, TEST_PASSED, TimerKey};
+use super::{LinkEnd, Node, Output, PROBE_TIMEOUT, Probe, TimerKey};
 use crate::links::{LinkChoice, LinkId, LinkNeed};
 use crate::liveness::Evidence;
 use crate::request::cause;
@@ -67,7 +67,7 @@
     }
 
     /// Sends the releases that wait for a connection to a core switch on this one, and the set-ups on any.
-    fn send_waiting_messages(&mut self, server: ServerId, link: LinkId) {
+    pub(super) fn send_waiting_messages(&mut self, server: ServerId, link: LinkId) {
         for (tag, rc) in self.links.take_pending_releases(server) {
             self.send_release(link, tag, rc);
         }
@@ -165,104 +165,6 @@
         }
     }
 
-    /// Processes a message from a core switch.
-    pub(super) fn link_message(&mut self, link: LinkId, message: Message) {
-        let now = self.now;
-        let tag = message.tag;
-        let Some((server, was_unresponsive)) = self.links.message_received(now, link) else { return };
-        if was_unresponsive {
-            self.send_waiting_messages(server, link);
-        }
-        let finish = message.verb == Verb::Finish;
-        let was_established = finish && self.calls.established.get(&tag).is_some_and(|s| s.server == server);
-        let evidence = match message.verb {
-            Verb::Load => Evidence::StateReport,
-            Verb::Finish if was_established => Evidence::CallRelease,
-            _ => Evidence::AnyMessage,
-        };
-        self.record_evidence(server, evidence);
-        // Figures such as free circuits arrive in a message of their own or with an answer.
-        let report = message.opts.get("load").and_then(|l| l.as_str()).map(fawnrouter_bootinfo::parse_report);
-        let current_attempt = self
-            .calls
-            .open
-            .get(&tag)
-            .and_then(|c| c.attempt)
-            .filter(|a| a.sent.is_some_and(|sent| sent.link == link));
-        if let Some(sent) = current_attempt.and_then(|a| a.sent) {
-            self.question_answered(link, sent.at);
-        }
-        match message.verb {
-            Verb::Started => {
-                let Some(attempt) = current_attempt else { return self.late_answer(link, server, tag) };
-                match message.blob {
-                    Some(blob) if !blob.is_empty() => self.call_established(tag, attempt, blob),
-                    _ => self.close_faulty_link(link, "an answer without a description"),
-                }
-            }
-            Verb::Finish => {
-                let Some(rc) = message.rc else {
-                    return self.close_faulty_link(link, "a release without a cause");
-                };
-                if current_attempt.is_some() {
-                    let detail = match message.opts.get("note").and_then(|n| n.as_str()) {
-                        Some("group_full") => OutcomeDetail::NoCircuit,
-                        Some("processor_full") => OutcomeDetail::ProcessorFull(None),
-                        Some("user_busy") => OutcomeDetail::NumberBusy,
-                        _ => OutcomeDetail::None,
-                    };
-                    let outcome = match rc {
-                        cause::NO_CIRCUIT => Outcome::Full,
-                        cause::USER_BUSY | cause::RESOURCE_UNAVAILABLE => Outcome::Error,
-                        cause::TIMER_EXPIRY => Outcome::Moot,
-                        _ => Outcome::Reset,
-                    };
-                    let answered = outcome != Outcome::Reset;
-                    if detail == OutcomeDetail::NumberBusy
-                        && let Some(client) = self.calls.open.get(&tag).map(|call| call.client)
-                    {
-                        self.number_found_busy(client);
-                    }
-                    return self.end_attempt(tag, outcome, detail, report.unwrap_or_default(), answered);
-                }
-                if was_established {
-                    self.send_to_switch(link, &Message::new(Verb::Finished, tag));
-                    self.end_established_call(tag, rc);
-                } else if !self.calls.open.contains_key(&tag) && !self.calls.recently_ended.contains(tag) {
-                    self.send_to_switch(link, &Message::new(Verb::Finished, tag));
-                    self.calls.unknown_releases.insert(tag, rc);
-                }
-            }
-            Verb::Echoed => {
-                let Some(probe) = self.probes.remove(&tag) else { return };
-                if probe.link == link {
-                    self.question_answered(link, probe.sent_at);
-                }
-                if probe.by_controller {
-                    let (ok, took) = (message.rc == Some(TEST_PASSED), now.since(probe.sent_at));
-                    let report = report.unwrap_or_default();
-                    self.events.push_back(Event::Probed { server: probe.server, ok, took, report });
-                }
-            }
-            Verb::Load => {
-                if let Some(report) = report {
-                    self.events.push_back(Event::Probed { server, ok: true, took: Duration::ZERO, report });
-                }
-            }
-            Verb::Start | Verb::Pending | Verb::Finished | Verb::Echo | Verb::Other => {}
-        }
-    }
-
-    /// Handles a late answer to an ended attempt: nobody uses the call established by it, so it is released.
-    /// Not so if the call is established at that core switch by another attempt, of whose answer this may be
-    /// a duplicate.
-    fn late_answer(&mut self, link: LinkId, server: ServerId, tag: Tag) {
-        let is_established = self.calls.established.get(&tag).is_some_and(|s| s.server == server);
-        if !is_established && self.links.links.get_mut(&link).is_some_and(|l| l.take_late_release(tag)) {
-            self.send_to_switch(link, &Message::new(Verb::Finish, tag).with_cause(cause::CLEARING));
-        }
-    }
-
     /// Records that something was received from a core switch.
     pub(super) fn record_evidence(&mut self, server: ServerId, evidence: Evidence) {
         if let Some(s) = self.servers.get_mut(&server) {
