Tell a release on the next connection although a second one could not deliver it

Callers close idle connections together, so two in a row can have ended.

Cause: `not_delivered` overwrote the remembered cause after the first repetition, since the answer and the release of one call may both be reported for one connection.

Change: the cause is kept; the driver reports each call once for a connection that ends.

--- a/crates/fawnrouter-node/src/node/callers.rs
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -163,7 +163,6 @@
             self.report_established_end(tag, call, Outcome::Cancelled);
             self.release_at_switch(call.server, tag, cause::CLEARING);
         } else if let Some(rc) = self.calls.recently_ended.get(tag).and_then(|e| e.release_cause) {
-            self.calls.recently_ended.insert(tag, EndedCall::default());
             self.notify_release(None, tag, rc);
         }
     }
--- a/crates/fawnrouter-node/src/node/interface.rs
+++ b/crates/fawnrouter-node/src/node/interface.rs
@@ -86,9 +86,10 @@
         /// The client.
         client: ClientId,
     },
-    /// A connection ended before a byte of this message was written ([`Output::ToCaller`]).
+    /// A connection ended before a byte of a message about this call was written ([`Output::ToCaller`]).
+    /// Reported once for each connection, however many of its messages were about the call.
     NotDelivered {
-        /// The call that the message was about.
+        /// The call.
         tag: Tag,
     },
     /// All messages that had arrived on a connection that is to be closed have been passed on.
--- a/crates/fawnrouter-node/tests/caller_notification.rs
+++ b/crates/fawnrouter-node/tests/caller_notification.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use fawnrouter_node::jsonl::Verb;
+use fawnrouter_node::jsonl::{Tag, Verb};
 use fawnrouter_node::{ClientId, Input, LinkId};
 
 /// A caller is told of the end of a call within this time although no release could be sent at once
@@ -104,6 +104,26 @@
     assert_eq!(releases_of_call_7(&harness), [(harness.now_ms, third)]);
 }
 
+/// Guards against callers that are not told because a second connection, too, ends before the release is
+/// written on it.
+#[test]
+fn release_that_two_connections_could_not_deliver_goes_on_the_next() {
+    let mut harness = Harness::new(1);
+    let (first, second) = (harness.connect(), harness.connect());
+    let link = harness.establish_call(first, 7);
+    harness.establish_call(second, 8);
+    harness.release_call(link, 7, 16);
+    for client in [first, second] {
+        assert_eq!(releases_of_call_7(&harness).last(), Some(&(harness.now_ms, client)));
+        harness.input(Input::ClientHalfClosed { client });
+        harness.input(Input::NotDelivered { tag: Tag(7) });
+        harness.input(Input::ClientDisconnected { client });
+    }
+    let third = harness.connect();
+    harness.establish_call(third, 9);
+    assert_eq!(releases_of_call_7(&harness).last(), Some(&(harness.now_ms, third)));
+}
+
 /// Guards against releases that are sent to clients which are no callers.
 #[test]
 fn clients_with_tests_or_invalid_set_ups_alone_are_told_of_no_call() {
--- a/crates/fawnrouterd/src/node/gateway.rs
+++ b/crates/fawnrouterd/src/node/gateway.rs
@@ -1,7 +1,7 @@
 //! State shared by the drivers: the state machine, and the connections that its outputs go to.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -138,8 +138,10 @@
     /// Removes a client. Returns the inputs that report its end and its undelivered lines.
     fn remove_client(&self, client: ClientId) -> Vec<Input> {
         let connection = self.clients.borrow_mut().remove(&client);
-        let undelivered = connection.into_iter().flat_map(|connection| connection.outbox.unwritten_marks());
-        let undelivered = undelivered.map(|tag| Input::NotDelivered { tag: Tag(tag) });
+        let marks = connection.into_iter().flat_map(|connection| connection.outbox.unwritten_marks());
+        // The answer and the release of a call may both be unwritten.
+        let undelivered: BTreeSet<u64> = marks.collect();
+        let undelivered = undelivered.into_iter().map(|tag| Input::NotDelivered { tag: Tag(tag) });
         std::iter::once(Input::ClientHalfClosed { client }).chain(undelivered).collect()
     }
 
