A set-up doesn't go on a dead connection because the others carried its call

Found by reading the change: if every connection that answers had carried an attempt of the call, and a further one had been opened within 2 s in place of one that does not answer, the set-up was written on the one that does not answer, in vain. That fallback is for a switch of which no connection answers.

Change: the set-up waits, and a connection is opened for it.

--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -156,12 +156,12 @@
         if let Some((id, _)) = best {
             return LinkChoice::Use(id);
         }
+        if self.has_responsive_link(now, server) || self.may_replace_unresponsive(now, server) {
+            return LinkChoice::Wait;
+        }
         // The newest of those that do not answer has the best chance, while no other may be opened.
         let unresponsive = self.links_to(server).filter(|(_, l)| has_room(l)).last();
-        match unresponsive {
-            Some((id, _)) if !self.may_replace_unresponsive(now, server) => LinkChoice::Use(id),
-            _ => LinkChoice::Wait,
-        }
+        unresponsive.map_or(LinkChoice::Wait, |(id, _)| LinkChoice::Use(id))
     }
 
     /// Whether a connection may be opened, or is being opened, in place of those that do not answer.
@@ -362,3 +362,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(ms: u64) -> Time {
+        Time(Duration::from_millis(ms))
+    }
+
+    /// Guards against set-ups that are written in vain on a connection that does not answer, although the
+    /// switch answers on others and a further one may be opened.
+    #[test]
+    fn set_up_waits_rather_than_use_an_unresponsive_connection_beside_responsive_ones() {
+        let (server, tag) = (ServerId(1), Tag(7));
+        let mut links = Links::new(10, 100, Duration::from_secs(60));
+        links.switch_entry(server, SocketAddr::from(([127, 0, 0, 1], 7001)));
+        let silent = links.start_dial(at(0), server);
+        links.link_up(at(0), silent);
+        links.links.get_mut(&silent).unwrap().health.probed(at(0));
+        assert_eq!(links.choose_for_set_up(at(100), server, tag), LinkChoice::Use(silent));
+        assert_eq!(links.choose_for_set_up(at(1000), server, tag), LinkChoice::Wait, "it does not answer");
+        let other = links.start_dial(at(1000), server);
+        links.link_up(at(1000), other);
+        assert_eq!(links.choose_for_set_up(at(1001), server, tag), LinkChoice::Use(other));
+        let other_link = links.links.get_mut(&other).unwrap();
+        other_link.start_attempt(at(1001), tag);
+        other_link.end_attempt(at(1002), tag, false, false);
+        assert_eq!(links.choose_for_set_up(at(1100), server, tag), LinkChoice::Wait);
+        // Once the other one does not answer either, the newest is used until a further one may be opened.
+        links.links.get_mut(&other).unwrap().health.probed(at(1100));
+        assert_eq!(links.choose_for_set_up(at(1700), server, Tag(8)), LinkChoice::Use(other));
+        assert_eq!(links.choose_for_set_up(at(3000), server, Tag(8)), LinkChoice::Wait);
+    }
+}
