review: one script runs the five cases

Cause: the five scripts were the same but for two words. Change: review/run-2.sh has what they share; the stand-ins are formatted as the project is.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,19 +1,3 @@
 #!/bin/sh
 # A core switch and a gateway are lost for 5 s and return; a caller tells of its call there.
-# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
-cd "$(dirname "$0")/../.." || exit 2
-folder=$(mktemp -d) || exit 2
-end() {
-    [ -f "$folder/pids" ] && kill -KILL $(cat "$folder/pids") 2>/dev/null
-    kill -KILL "$standins" 2>/dev/null
-    rm -rf "$folder"
-    exit 2
-}
-trap end INT TERM
-[ -x target/review-2/standins ] || { echo "first: review/build-2.sh" >&2; exit 2; }
-target/review-2/standins restart "$folder" review/7/record.txt &
-standins=$!
-wait "$standins"
-code=$?
-rm -rf "$folder"
-exit $code
+exec "$(dirname "$0")/../run-2.sh" 7 restart
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -79,7 +79,8 @@
         switch.send(connection, &finished_line(tag));
         left.retain(|t| t != tag);
     }
-    (!left.is_empty()).then(|| format!("75 s later the core switch has not been told that these ended: {left:?}"))
+    (!left.is_empty())
+        .then(|| format!("75 s later the core switch has not been told that these ended: {left:?}"))
 }
 
 /// Bad clients open hundreds of connections and say nothing.
@@ -153,7 +154,9 @@
     callers.into_iter().for_each(|caller| drop(caller.join()));
     let lost = lost.lock().unwrap();
     lost.iter().for_each(|line| record.write(&format!("lost: {line}")));
-    (!lost.is_empty()).then(|| format!("{} of 275 set-ups were read, and their connections closed with no answer", lost.len()))
+    (!lost.is_empty()).then(|| {
+        format!("{} of 275 set-ups were read, and their connections closed with no answer", lost.len())
+    })
 }
 
 /// A core switch and a gateway are lost for 5 s and return, the core switch cold. The caller tells the gateway of
@@ -334,7 +337,10 @@
             return None;
         }
     }
-    Some(format!("the release of {} did not reach the core switch within 30 s (set up on {first}, {second})", tags[0]))
+    Some(format!(
+        "the release of {} did not reach the core switch within 30 s (set up on {first}, {second})",
+        tags[0]
+    ))
 }
 
 /// After a planned restart a caller tells another gateway of its call; new connections to the core switch come
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -40,7 +40,8 @@
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 fn signal(pid: u32, name: &str) {
-    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).stderr(Stdio::null()).status();
+    let _ =
+        Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).stderr(Stdio::null()).status();
 }
 
 /// Ends all processes that were started, and this one.
