--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -37,7 +37,7 @@
 }
 
 /// Gateway processes that are running, to be ended with the case.
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
 fn signal(pid: u32, name: &str) {
     let _ =
@@ -46,8 +46,11 @@
 
 /// Ends all processes that were started, and this one.
 pub fn end(code: i32) -> ! {
-    let children: Vec<u32> = CHILDREN.lock().map(|mut c| std::mem::take(&mut *c)).unwrap_or_default();
-    children.into_iter().for_each(|pid| signal(pid, "KILL"));
+    let children = CHILDREN.lock().map(|mut c| std::mem::take(&mut *c)).unwrap_or_default();
+    for mut child in children {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
     std::process::exit(code)
 }
 
@@ -455,7 +458,7 @@
 pub struct Gateway {
     pub name: String,
     pub address: SocketAddr,
-    child: Child,
+    process: u32,
     record: Record,
 }
 
@@ -499,11 +502,12 @@
         command.env("BALANCER_LISTEN", address.to_string()).env("TMPDIR", directory.join("tmp"));
         command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
         let child = command.spawn().unwrap_or_else(|e| cannot_run(&e.to_string()));
-        CHILDREN.lock().unwrap().push(child.id());
+        let process = child.id();
+        CHILDREN.lock().unwrap().push(child);
         // For the script, if it is ended itself.
         let pids = File::options().create(true).append(true).open(directory.with_file_name("pids"));
-        let _ = pids.and_then(|mut pids| writeln!(pids, "{}", child.id()));
-        let gateway = Self { name: name.to_owned(), address, child, record: record.clone() };
+        let _ = pids.and_then(|mut pids| writeln!(pids, "{process}"));
+        let gateway = Self { name: name.to_owned(), address, process, record: record.clone() };
         // As the front does: it admits the gateway once it has passed a test.
         let until = Instant::now() + Duration::from_secs(10);
         loop {
@@ -526,22 +530,29 @@
 
     pub fn signal(&self, name: &str) {
         self.record.write(&format!("{} gets SIG{name}", self.name));
-        signal(self.child.id(), name);
+        signal(self.process, name);
     }
 
     /// Kills the process and waits for its end.
     pub fn kill(mut self) -> SocketAddr {
         self.record.write(&format!("{} is killed", self.name));
-        let _ = self.child.kill();
+        signal(self.process, "KILL");
         self.ended();
         self.address
     }
 
     /// Waits for the end of the process.
     pub fn ended(&mut self) {
-        let _ = self.child.wait();
-        let id = self.child.id();
-        CHILDREN.lock().unwrap().retain(|pid| *pid != id);
+        loop {
+            let mut children = CHILDREN.lock().unwrap();
+            let Some(at) = children.iter().position(|child| child.id() == self.process) else { break };
+            if !matches!(children[at].try_wait(), Ok(None)) {
+                children.remove(at);
+                break;
+            }
+            drop(children);
+            pause(2);
+        }
         self.record.write(&format!("{} has ended", self.name));
     }
 }
