Callers of calls cut by a restart while their gateway was away are told so

Cause: restore_established dated the call from the report, so no start in the list was ever later than it, neither at the report, where it was not compared at all, nor with a list that came afterwards. Ruled out: liveness (the new process accepts connections and answers probes) and the switch's releases (it does not know the call).

Change: reported_calls decides whether a reported call can be of the present start. A switch that has joined under a new id had no earlier process. The counterpart, a call set up after the start, stands.

--- a/crates/fawnrouter-node/src/calls.rs
+++ b/crates/fawnrouter-node/src/calls.rs
@@ -7,6 +7,7 @@
 
 use crate::client_connections::ClientId;
 use crate::links::LinkId;
+use crate::reported_calls;
 
 /// A set-up that was written to a core switch.
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +54,19 @@
     pub since: Time,
 }
 
+impl EstablishedCall {
+    /// Whether the call was set up before its core switch started at `switch_started_at`, so that it ended with
+    /// the switch's earlier process.
+    pub fn was_set_up_before_start(&self, switch_started_at: Time, gateway_started_at: Time) -> bool {
+        match self.attempt {
+            Some(_) => self.since < switch_started_at,
+            None => {
+                reported_calls::was_set_up_before_start(switch_started_at, self.since, gateway_started_at)
+            }
+        }
+    }
+}
+
 /// What is remembered of an ended call.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct EndedCall {
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -78,6 +78,9 @@
 struct Server {
     id: String,
     listed: Option<ListedSwitch>,
+    /// Whether a process may have run under this id before its present start. Not so if this gateway has seen
+    /// the id listed for the first time with this start.
+    may_have_earlier_start: bool,
     liveness: Liveness,
 }
 
@@ -90,6 +93,8 @@
     connections: ConnectionSettings,
     rng: ChaCha8Rng,
     now: Time,
+    /// When the first list was applied.
+    started_at: Time,
     calls: Calls,
     links: Links,
     client_connections: ClientConnections,
@@ -153,6 +158,7 @@
             // Another stream than that of the controller, which is seeded with the seed itself.
             rng: ChaCha8Rng::seed_from_u64(settings.seed ^ 0x6e6f_6465),
             now: Time::default(),
+            started_at: Time::default(),
             calls: Calls::default(),
             links: Links::new(
                 settings.max_links,
--- a/crates/fawnrouter-node/src/node/callers.rs
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -330,6 +330,7 @@
                     EstablishedCall { client, server, attempt: None, link: None, since: self.now },
                 );
                 self.call_established_for(client);
+                self.lose_calls_of_earlier_start(server);
                 self.open_missing_links(server);
                 self.start_liveness_checks(server);
             }
--- a/crates/fawnrouter-node/src/node/established.rs
+++ b/crates/fawnrouter-node/src/node/established.rs
@@ -36,11 +36,23 @@
         }
     }
 
-    /// Ends the calls established at a core switch: all of them, or those established before its restart.
+    /// Ends the calls that were established at a core switch before its present start, if it may have had an
+    /// earlier one. Its new process does not know them and never releases them.
+    pub(super) fn lose_calls_of_earlier_start(&mut self, server: ServerId) {
+        let Some(s) = self.servers.get(&server).filter(|s| s.may_have_earlier_start) else { return };
+        if let Some(started_at) = s.listed.as_ref().and_then(|listed| listed.started) {
+            self.lose_established_calls(server, Some(started_at), "has restarted");
+        }
+    }
+
+    /// Ends the calls established at a core switch: all of them, or those set up before its start.
     pub(super) fn lose_established_calls(&mut self, server: ServerId, before: Option<Time>, reason: &str) {
         let tags = self.calls.established_by_server.get(&server).cloned().unwrap_or_default();
-        let old =
-            |tag: &Tag| self.calls.established.get(tag).is_some_and(|s| before.is_none_or(|t| s.since < t));
+        let started_at = self.started_at;
+        let old = |tag: &Tag| {
+            let call = self.calls.established.get(tag);
+            call.is_some_and(|call| before.is_none_or(|t| call.was_set_up_before_start(t, started_at)))
+        };
         let tags: Vec<Tag> = tags.into_iter().filter(old).collect();
         if tags.is_empty() {
             return;
--- a/crates/fawnrouter-node/src/node/switch_list.rs
+++ b/crates/fawnrouter-node/src/node/switch_list.rs
@@ -42,17 +42,24 @@
         if self.list_serial.is_some_and(|seen| pool.serial.wrapping_sub(seen) as i32 <= 0) {
             return;
         }
-        let kind = if self.list_serial.is_none() { ListKind::Cached } else { ListKind::Snapshot };
+        let is_first_list = self.list_serial.is_none();
+        let kind = if is_first_list { ListKind::Cached } else { ListKind::Snapshot };
         self.list_serial = Some(pool.serial);
+        if is_first_list {
+            self.started_at = self.now;
+        }
         let mut entries = Vec::new();
         let mut seen = BTreeSet::new();
         for (id, listed) in &pool.switches {
+            let was_listed = self.server_ids.was_assigned(id);
             let server = self.server_ids.get_or_assign(id);
+            let is_known = self.servers.contains_key(&server);
             seen.insert(server);
             entries.push(server_entry(server, listed));
             let s = self.servers.entry(server).or_insert_with(|| Server {
                 id: id.clone(),
                 listed: None,
+                may_have_earlier_start: is_first_list || was_listed,
                 liveness: Liveness::new(self.now),
             });
             let before = s.listed.replace(listed.clone());
@@ -63,7 +70,11 @@
             let has_new_start =
                 before.map_or(listed.started.is_some(), |before| before.started != listed.started);
             if has_new_start {
-                self.lose_established_calls(server, listed.started, "has restarted");
+                s.may_have_earlier_start |= is_known;
+                match listed.started {
+                    Some(_) => self.lose_calls_of_earlier_start(server),
+                    None => self.lose_established_calls(server, None, "has restarted"),
+                }
             }
         }
         let gone: BTreeSet<ServerId> = self.servers.keys().copied().filter(|s| !seen.contains(s)).collect();
--- a/crates/fawnrouter-node/src/switch_list.rs
+++ b/crates/fawnrouter-node/src/switch_list.rs
@@ -2,7 +2,7 @@
 //! 1035, RFC 2782). The platform's protocol says what the records mean; see
 //! `docs/design/025-platform-gateway.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -15,6 +15,8 @@
 
 /// Most core switches that a list may name; a longer list is rejected as a whole.
 const MAX_LISTED_SWITCHES: usize = 4096;
+/// Most removed ids that are remembered.
+const MAX_REMOVED_IDS: usize = 256;
 
 /// Why a list cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -188,6 +190,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServerIds {
     numbers: BTreeMap<String, ServerId>,
+    /// Ids that were removed, the latest last.
+    removed: VecDeque<String>,
     next: u32,
 }
 
@@ -206,7 +210,17 @@
     }
 
     pub fn remove(&mut self, id: &str) {
-        self.numbers.remove(id);
+        if let Some((id, _)) = self.numbers.remove_entry(id) {
+            self.removed.push_back(id);
+            if self.removed.len() > MAX_REMOVED_IDS {
+                self.removed.pop_front();
+            }
+        }
+    }
+
+    /// Whether the id has a number or had one before, as far as is remembered.
+    pub fn was_assigned(&self, id: &str) -> bool {
+        self.numbers.contains_key(id) || self.removed.iter().any(|removed| removed == id)
     }
 }
 
