Input that clients send is limited by the memory it takes, and read in small turns

330 clients that write lines of 60 short options made a gateway take 107 to 112 MB (three runs, limit 64) and 300 usual calls beside them wait 4.2 to 5.1 s (p99); lines of one short option took it to 143 MB. A gateway over its limit is killed.

Cause: the limits on what is read ahead counted socket bytes, while the messages are held decoded at 12 to 20 times that (each option a tree node and two strings), and beyond the common limit each connection still read 32 KiB at once. A turn could read and decode 256 KiB, and each value went through the buffer of a derived untagged enum, 29 us a line.

Change: options are a compact sorted list, a queue keeps those that the gateway reads, the budget counts the memory of the messages, a connection reads 4 KiB in a turn, values are decoded directly, and a line's buffer gives back what it does not need. Repeated option names count towards the limit of 64.

The new test in client_memory.rs found 62,356 KiB of 32,768 before and passes now. The tests of jsonl, node and fawnrouterd pass.

--- a/crates/fawnrouter-jsonl/src/decode.rs
+++ b/crates/fawnrouter-jsonl/src/decode.rs
@@ -3,12 +3,15 @@
 use serde::Deserialize;
 
 use crate::message::{Message, Tag};
+use crate::options::MAX_OPTIONS;
 
 /// Longest line, line feed included. The protocol allows messages up to 16 KiB.
 pub const MAX_LINE_BYTES: usize = 16 * 1024;
 
-/// Most options of a message, several times as many as any message of the protocol has.
-const MAX_OPTIONS: usize = 64;
+/// Capacity in bytes that the buffer of an incomplete line keeps.
+const MIN_CAPACITY: usize = 1024;
+/// The buffer shrinks when it holds less than this fraction of its capacity.
+const MAX_SPARE_FACTOR: usize = 4;
 
 /// Why a line is not a message. Nothing after it on the connection can be trusted.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -97,10 +100,7 @@
                 if self.buffered_bytes() >= MAX_LINE_BYTES {
                     return Err(self.fail(DecodeError::TooLong));
                 }
-                if self.buffered_bytes() == 0 {
-                    // Frees the buffer, so that a connection that was busy once does not keep its memory.
-                    *self = Self::default();
-                }
+                self.release_memory();
                 return Ok(None);
             };
             let line = self.line_start..end;
@@ -125,6 +125,19 @@
         }
     }
 
+    /// Frees memory that the incomplete line does not need, so that a connection that was busy once does not
+    /// keep it.
+    fn release_memory(&mut self) {
+        if self.buffered_bytes() == 0 {
+            *self = Self::default();
+        } else if self.bytes.capacity() > MAX_SPARE_FACTOR * self.buffered_bytes().max(MIN_CAPACITY) {
+            self.bytes.drain(..self.line_start);
+            self.searched -= self.line_start;
+            self.line_start = 0;
+            self.bytes.shrink_to(MIN_CAPACITY);
+        }
+    }
+
     fn fail(&mut self, error: DecodeError) -> DecodeError {
         *self = Self { failed: true, ..Self::default() };
         error
--- a/crates/fawnrouter-jsonl/src/lib.rs
+++ b/crates/fawnrouter-jsonl/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod decode;
 mod message;
+mod options;
 
 pub use decode::{DecodeError, Decoder, MAX_LINE_BYTES};
-pub use message::{Message, OptionValue, Options, Tag, Verb};
+pub use message::{Message, OptionValue, Tag, Verb};
+pub use options::Options;
--- a/crates/fawnrouter-jsonl/src/message.rs
+++ b/crates/fawnrouter-jsonl/src/message.rs
@@ -1,11 +1,12 @@
 //! Message types.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
+use crate::options::Options;
+
 /// A call's id: 16 lower-case hex digits, so that each number has one spelling.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Tag(pub u64);
@@ -65,7 +66,7 @@
 }
 
 /// The value of an option: text or a number.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum OptionValue {
     /// Text.
@@ -84,6 +85,11 @@
         }
     }
 
+    /// Bytes of text that the value holds.
+    pub(crate) fn text_bytes(&self) -> usize {
+        self.as_str().map_or(0, str::len)
+    }
+
     /// The value as text, if it is text.
     #[must_use]
     pub fn as_str(&self) -> Option<&str> {
@@ -94,8 +100,40 @@
     }
 }
 
-/// The options of a message by name.
-pub type Options = BTreeMap<String, OptionValue>;
+/// Written by hand, as a derived untagged enum holds each value in a buffer first, which takes several times as
+/// long.
+impl<'de> Deserialize<'de> for OptionValue {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(OptionValueVisitor)
+    }
+}
+
+struct OptionValueVisitor;
+
+impl de::Visitor<'_> for OptionValueVisitor {
+    type Value = OptionValue;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("text or a number")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<OptionValue, E> {
+        Ok(OptionValue::Text(text.to_owned()))
+    }
+
+    fn visit_u64<E: de::Error>(self, number: u64) -> Result<OptionValue, E> {
+        Ok(OptionValue::Number(number.into()))
+    }
+
+    fn visit_i64<E: de::Error>(self, number: i64) -> Result<OptionValue, E> {
+        Ok(OptionValue::Number(number.into()))
+    }
+
+    fn visit_f64<E: de::Error>(self, number: f64) -> Result<OptionValue, E> {
+        let number = serde_json::Number::from_f64(number);
+        number.map(OptionValue::Number).ok_or_else(|| E::custom("a number that is not finite"))
+    }
+}
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -132,7 +170,7 @@
     /// Sets an option, as text.
     #[must_use]
     pub fn with_option(mut self, name: &str, value: impl fmt::Display) -> Self {
-        self.opts.insert(name.to_owned(), OptionValue::Text(value.to_string()));
+        self.opts.insert(name, OptionValue::Text(value.to_string()));
         self
     }
 
@@ -143,6 +181,12 @@
         self
     }
 
+    /// Bytes of memory that the message takes, without the overhead of the allocator.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        size_of::<Self>() + self.opts.memory_bytes() + self.blob.as_ref().map_or(0, String::capacity)
+    }
+
     /// Appends the message as a line.
     pub fn encode(&self, out: &mut Vec<u8>) {
         let start = out.len();
--- a/crates/fawnrouter-node/src/inbox.rs
+++ b/crates/fawnrouter-node/src/inbox.rs
@@ -8,6 +8,11 @@
 
 use fawnrouter_jsonl::{Message, Tag, Verb};
 
+use crate::request;
+
+/// Memory that a queued set-up takes beside its message: its place in the map of set-ups.
+const SET_UP_ENTRY_BYTES: usize = 48;
+
 /// The next message to be processed.
 #[derive(Debug)]
 pub enum QueuedMessage {
@@ -29,13 +34,22 @@
     popped: u64,
     /// The position of each call's last set-up that is not withdrawn.
     latest_set_ups: BTreeMap<Tag, u64>,
+    /// Bytes of memory that all messages took that were added since the queue was last empty.
+    memory_bytes: usize,
 }
 
 impl Inbox {
-    /// Adds a received message.
-    pub fn push(&mut self, message: Message) {
+    /// Adds a received message. Only the options that the gateway reads are kept, so that a message takes hardly
+    /// more memory here than in the socket.
+    pub fn push(&mut self, mut message: Message) {
+        message.opts.retain_named(&request::OPTION_NAMES);
+        if self.is_empty() {
+            self.memory_bytes = 0;
+        }
+        self.memory_bytes += message.memory_bytes();
         match message.verb {
             Verb::Start => {
+                self.memory_bytes += SET_UP_ENTRY_BYTES;
                 self.latest_set_ups.insert(message.tag, self.popped + self.queue.len() as u64);
             }
             Verb::Finish => match self.latest_set_ups.remove(&message.tag) {
@@ -61,6 +75,12 @@
         }
     }
 
+    /// Bytes of memory that the messages took that were added since the queue was last empty.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_bytes
+    }
+
     /// Whether no message is left.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/fawnrouter-node/src/request.rs
+++ b/crates/fawnrouter-node/src/request.rs
@@ -36,6 +36,9 @@
 /// Longest called number in bytes, far more than E.164 or any key of the platform needs.
 const MAX_CALLED_NUMBER_BYTES: usize = 256;
 
+/// Names of the options that [`read`] uses.
+pub(crate) const OPTION_NAMES: [&str; 6] = ["class", "extras", "key", "left", "retry", "tenant"];
+
 /// What a set-up asks for.
 #[derive(Debug)]
 pub(crate) enum Request {
--- a/crates/fawnrouterd/src/node/client.rs
+++ b/crates/fawnrouterd/src/node/client.rs
@@ -83,7 +83,10 @@
         // not delay the close.
         if !final_read {
             final_read = connection.close_requested.is_set();
-            connection.reader.borrow_mut().fill(&gateway.read_buffer, connection.stream.get_ref());
+            if read_ahead(gateway, connection, final_read) {
+                future::yield_now().await;
+                continue;
+            }
         }
         // A client that has closed its side waits for no answers; the node learns this before it processes
         // the rest.
@@ -112,6 +115,18 @@
     }
 }
 
+/// Reads ahead, one turn's part or, if this is the last read, all that has arrived. Returns whether there may be
+/// more to read before messages are processed.
+fn read_ahead(gateway: &Gateway, connection: &ClientConnection, is_last: bool) -> bool {
+    let mut reader = connection.reader.borrow_mut();
+    let socket = connection.stream.get_ref();
+    if is_last {
+        reader.fill(&gateway.read_buffer, socket);
+        return false;
+    }
+    reader.fill_some(&gateway.read_buffer, socket)
+}
+
 /// Passes some of the messages read to the node; `false` if there were none.
 fn forward_messages(gateway: &Rc<Gateway>, client: ClientId, connection: &ClientConnection) -> bool {
     let mut forwarded = false;
--- a/crates/fawnrouterd/src/node/reader.rs
+++ b/crates/fawnrouterd/src/node/reader.rs
@@ -7,12 +7,15 @@
 use fawnrouter_node::jsonl::{DecodeError, Decoder, Message};
 use fawnrouter_node::{Inbox, QueuedMessage};
 
-/// Most bytes of one connection that are read before they are processed; room for five hundred set-ups and
-/// their cancels.
-const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
-/// The same over all connections. Beyond this, a connection reads again once its own bytes have been
-/// processed.
-const MAX_TOTAL_READ_AHEAD_BYTES: usize = 1024 * 1024;
+/// Most memory of one connection's messages that are read before they are processed; room for five hundred
+/// set-ups and their cancels.
+const MAX_READ_AHEAD_BYTES: usize = 512 * 1024;
+/// The same over all connections. Beyond this, a connection reads again once its own messages have been
+/// processed, and little at a time ([`TURN_READ_BYTES`]).
+const MAX_TOTAL_READ_AHEAD_BYTES: usize = 2 * 1024 * 1024;
+/// Most bytes that a connection reads and decodes in one turn, so that hundreds of busy connections do not make
+/// the others wait.
+const TURN_READ_BYTES: usize = 4 * 1024;
 
 /// Read buffer of all connections, with the number of bytes read ahead. One buffer suffices, because no task
 /// awaits while it holds data.
@@ -32,7 +35,7 @@
 pub struct Reader {
     decoder: Decoder,
     inbox: Inbox,
-    /// Bytes read and not yet released.
+    /// Bytes read and not yet released, or the memory of their messages where that is more.
     read_ahead_bytes: usize,
     /// The client has closed its side, or the connection was reset.
     ended: bool,
@@ -47,21 +50,25 @@
 
 impl Reader {
     /// Reads what the socket has received, within limits.
-    pub fn fill(&mut self, buffer: &ReadBuffer, mut socket: &TcpStream) {
-        while !self.ended
-            && self.fault.is_none()
-            && (self.read_ahead_bytes == 0
-                || self.read_ahead_bytes < MAX_READ_AHEAD_BYTES
-                    && buffer.read_ahead_bytes.get() < MAX_TOTAL_READ_AHEAD_BYTES)
-        {
-            let scratch = &mut *buffer.scratch.borrow_mut();
+    pub fn fill(&mut self, buffer: &ReadBuffer, socket: &TcpStream) {
+        while self.fill_some(buffer, socket) {}
+    }
+
+    /// Reads one turn's part of what the socket has received, within limits. Returns whether there may be more
+    /// that is to be read before what has been read is processed.
+    pub fn fill_some(&mut self, buffer: &ReadBuffer, mut socket: &TcpStream) -> bool {
+        let mut turn_bytes = 0;
+        while self.may_read(buffer) {
+            if turn_bytes == TURN_READ_BYTES {
+                return true;
+            }
+            let scratch = &mut buffer.scratch.borrow_mut()[..TURN_READ_BYTES - turn_bytes];
             match socket.read(scratch) {
                 Ok(n) if n > 0 => {
-                    self.read_ahead_bytes += n;
-                    buffer.read_ahead_bytes.set(buffer.read_ahead_bytes.get() + n);
-                    self.push(&scratch[..n]);
+                    turn_bytes += n;
+                    self.push_and_reserve(buffer, &scratch[..n]);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Ok(_) | Err(_) => {
                     self.ended = true;
@@ -69,6 +76,22 @@
                 }
             }
         }
+        false
+    }
+
+    fn may_read(&self, buffer: &ReadBuffer) -> bool {
+        let has_room = self.read_ahead_bytes < MAX_READ_AHEAD_BYTES
+            && buffer.read_ahead_bytes.get() < MAX_TOTAL_READ_AHEAD_BYTES;
+        !self.ended && self.fault.is_none() && (self.read_ahead_bytes == 0 || has_room)
+    }
+
+    /// Decodes bytes, and takes what they need of the read-ahead budget.
+    fn push_and_reserve(&mut self, buffer: &ReadBuffer, bytes: &[u8]) {
+        let memory_before = self.inbox.memory_bytes();
+        self.push(bytes);
+        let needed = bytes.len().max(self.inbox.memory_bytes().saturating_sub(memory_before));
+        self.read_ahead_bytes += needed;
+        buffer.read_ahead_bytes.set(buffer.read_ahead_bytes.get() + needed);
     }
 
     /// Decodes bytes that have been read.
