Unwritten bytes of all connections share a budget from the memory limit

Cause: each queue ended at 64 KiB whatever the others held, doubled while it grew, and kept up to 64 KiB in each of its two buffers when empty; limits.memory_mb was not read.

An emptied buffer keeps 4 KiB.

--- a/crates/fawnrouter-node/src/boot.rs
+++ b/crates/fawnrouter-node/src/boot.rs
@@ -8,6 +8,10 @@
 
 use crate::switch_list::{Pool, PoolError};
 
+/// Least memory that a gateway can run with.
+const MIN_MEMORY_MB: f64 = 8.0;
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+
 /// What is wrong with a configuration. Each text names the field and what it must be.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[non_exhaustive]
@@ -47,6 +51,8 @@
     pub seed: u64,
     /// Number of descriptors that the process may hold.
     pub descriptors: usize,
+    /// Bytes of memory that the process may hold.
+    pub memory_bytes: usize,
     /// Address of the name server.
     pub nameserver: SocketAddr,
     /// The initial list of core switches.
@@ -109,6 +115,11 @@
             descriptors: f.get("limits.sockets", "the number of descriptors, 64 at least", |v| {
                 v.as_u64().and_then(|n| usize::try_from(n).ok()).filter(|n| *n >= 64)
             })?,
+            memory_bytes: f.get("limits.memory_mb", "the memory limit in MB, 8 at least", |v| {
+                v.as_f64()
+                    .filter(|mb| mb.is_finite() && *mb >= MIN_MEMORY_MB)
+                    .map(|mb| (mb * BYTES_PER_MB) as usize)
+            })?,
             nameserver: f.get("nameserver", "an address and a port, as 10.2.0.1:5300", address)?,
             known: Pool::from_configuration(&known)?,
             settings,
--- a/crates/fawnrouter-node/src/lib.rs
+++ b/crates/fawnrouter-node/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `liveness` | when a core switch's established calls count as ended although it sent no release |
 //! | `inbox` | unprocessed messages of a client: which set-ups are withdrawn before they are attempted |
 //! | `descriptor_shares` | how the descriptors are divided, before any is used |
+//! | `memory_shares` | how the memory is divided among what clients can make the gateway hold |
 //! | `client_connections` | which client connection is closed, when and why |
 //! | `calls` | open and established calls, and what is remembered of ended ones |
 //! | `node` | the state machine: inputs, the controller's events and actions, timers |
@@ -28,6 +29,7 @@
 mod links;
 mod list_query;
 mod liveness;
+mod memory_shares;
 mod node;
 mod reported_calls;
 mod request;
@@ -42,5 +44,6 @@
 pub use inbox::{Inbox, QueuedMessage};
 pub use links::LinkId;
 pub use list_query::{Ask, AskError, ListQuery};
+pub use memory_shares::MemoryShares;
 pub use node::{Counters, Input, LinkEnd, Node, NodeSettings, Output};
 pub use switch_list::{LIST_DNS_NAME, Pool, PoolError};
--- a/crates/fawnrouterd/src/node/gateway.rs
+++ b/crates/fawnrouterd/src/node/gateway.rs
@@ -8,11 +8,13 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
+use fawnrouter_admission::{BufferLimits, BufferOwner};
 use fawnrouter_node::fawnrouter::Time;
-use fawnrouter_node::jsonl::Tag;
-use fawnrouter_node::{ClientId, DescriptorShares, Input, LinkId, Node, Output};
+use fawnrouter_node::jsonl::{MAX_LINE_BYTES, Tag};
+use fawnrouter_node::{ClientId, DescriptorShares, Input, LinkId, MemoryShares, Node, Output};
 
 use super::reader::{ReadBuffer, Reader};
+use crate::buffer_share::{BufferBudget, BufferShare, new_buffer_budget};
 use crate::flag::Flag;
 use crate::machine_driver::MachineDriver;
 use crate::outbox::Outbox;
@@ -20,6 +22,8 @@
 /// Most unwritten bytes per connection; a peer that reads too slowly is disconnected beyond this. Room for
 /// four lines of the greatest length, or some hundred answers.
 const MAX_BACKLOG_BYTES: usize = 64 * 1024;
+/// Unwritten bytes that a connection may have however much memory is used: one line of the greatest length.
+const MIN_BACKLOG_BYTES: usize = MAX_LINE_BYTES;
 /// Further lines in the same second are only counted.
 const MAX_LOG_LINES_PER_SECOND: u32 = 40;
 
@@ -70,6 +74,8 @@
     /// Client connections that a task still serves or closes.
     client_tasks: Cell<usize>,
     shares: DescriptorShares,
+    /// Budget for unwritten bytes.
+    outbox_budget: BufferBudget,
     open_link: OpenLink,
     executor: Weak<LocalExecutor<'static>>,
     log: RefCell<LogRate>,
@@ -80,6 +86,7 @@
     pub fn new(
         node: Node,
         shares: DescriptorShares,
+        memory: MemoryShares,
         nameserver: SocketAddr,
         open_link: OpenLink,
         executor: &Rc<LocalExecutor<'static>>,
@@ -94,6 +101,11 @@
             closing: Cell::new(0),
             client_tasks: Cell::new(0),
             shares,
+            outbox_budget: new_buffer_budget(BufferLimits {
+                total: memory.outboxes,
+                max_per_connection: MAX_BACKLOG_BYTES,
+                min_per_connection: MIN_BACKLOG_BYTES,
+            }),
             open_link,
             executor: Rc::downgrade(executor),
             log: RefCell::default(),
@@ -115,7 +127,7 @@
         let client = ClientId(self.next_client.get());
         let connection = Rc::new(ClientConnection {
             stream,
-            outbox: Outbox::new(MAX_BACKLOG_BYTES),
+            outbox: self.new_outbox(BufferOwner::Client),
             reader: RefCell::default(),
             input_pending: Flag::default(),
             close_requested: Flag::default(),
@@ -124,6 +136,10 @@
         (client, connection)
     }
 
+    fn new_outbox(&self, owner: BufferOwner) -> Outbox {
+        Outbox::with_budget_share(MAX_BACKLOG_BYTES, BufferShare::of_budget(&self.outbox_budget, owner))
+    }
+
     /// Whether one more client connection can be served, its graceful close included.
     pub fn has_client_capacity(&self) -> bool {
         self.client_tasks.get() < self.shares.max_client_connections()
@@ -209,7 +225,7 @@
                 }
             }
             Output::OpenLink { link, address, within } => {
-                let outbox = Rc::new(Outbox::new(MAX_BACKLOG_BYTES));
+                let outbox = Rc::new(self.new_outbox(BufferOwner::Trunk));
                 self.links.borrow_mut().insert(link, outbox.clone());
                 opened.push((link, address, within, outbox));
             }
--- a/crates/fawnrouterd/src/node/mod.rs
+++ b/crates/fawnrouterd/src/node/mod.rs
@@ -22,7 +22,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use fawnrouter_node::fawnrouter::SettingsError;
-use fawnrouter_node::{DescriptorShares, Input, Node, NodeSettings};
+use fawnrouter_node::{DescriptorShares, Input, MemoryShares, Node, NodeSettings};
 use futures_lite::future;
 
 pub use config::{ConfigError, ConfigSource};
@@ -70,7 +70,8 @@
     let node = Node::new(NodeSettings::new(&boot))?;
     let executor = Rc::new(LocalExecutor::new());
     let shares = DescriptorShares::divide(boot.descriptors);
-    let gateway = Gateway::new(node, shares, boot.nameserver, trunk::open, &executor);
+    let memory = MemoryShares::divide(boot.memory_bytes);
+    let gateway = Gateway::new(node, shares, memory, boot.nameserver, trunk::open, &executor);
     gateway.input(Input::ConfiguredList(boot.known));
     tracing::info!(name = boot.name, %address, "gateway ready");
     let all = async {
--- a/crates/fawnrouterd/src/outbox.rs
+++ b/crates/fawnrouterd/src/outbox.rs
@@ -11,8 +11,8 @@
 
 use crate::buffer_share::BufferShare;
 
-/// Capacity in bytes that an empty buffer keeps for reuse.
-const MAX_RETAINED_CAPACITY: usize = 64 * 1024;
+/// Capacity in bytes that an empty buffer keeps for reuse. Each connection has two buffers.
+const MAX_RETAINED_CAPACITY: usize = 4 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -192,7 +192,7 @@
     /// Discards the queue and ends the connection.
     pub fn abort(&self) {
         self.state.set(State::Aborted);
-        self.queued.borrow_mut().clear();
+        clear_buffer(&mut self.queued.borrow_mut());
         self.share.resize(0);
         for waker in [self.writer_waker.take(), self.abort_waker.take(), self.finish_waker.take()]
             .into_iter()
@@ -218,7 +218,7 @@
     pub async fn write_to(&self, stream: &Async<TcpStream>) -> io::Result<()> {
         loop {
             if self.write_offset.get() == self.writing.borrow().len() {
-                self.writing.borrow_mut().clear();
+                clear_buffer(&mut self.writing.borrow_mut());
                 self.write_offset.set(0);
                 let more = poll_fn(|cx| {
                     if !self.queued.borrow().is_empty() {
@@ -235,10 +235,6 @@
                     return Ok(());
                 }
                 std::mem::swap(&mut *self.queued.borrow_mut(), &mut *self.writing.borrow_mut());
-                // Releases the memory of a burst once it is written.
-                if self.queued.borrow().capacity() > MAX_RETAINED_CAPACITY {
-                    *self.queued.borrow_mut() = Vec::new();
-                }
             }
             let wrote = stream
                 .write_with(|mut s| match &self.writing.borrow()[self.write_offset.get()..] {
@@ -257,6 +253,14 @@
     }
 }
 
+/// Empties a buffer, and releases the memory of a burst.
+fn clear_buffer(buffer: &mut Vec<u8>) {
+    buffer.clear();
+    if buffer.capacity() > MAX_RETAINED_CAPACITY {
+        *buffer = Vec::new();
+    }
+}
+
 #[cfg(test)]
 #[path = "outbox_tests.rs"]
 mod tests;
--- a/crates/fawnrouterd/src/outbox_tests.rs
+++ b/crates/fawnrouterd/src/outbox_tests.rs
@@ -67,3 +67,57 @@
     drop(stream);
     assert!(reading.join().unwrap().unwrap().ends_with(b"xlast"));
 }
+
+/// Guards against a gateway that is killed for memory because hundreds of connections keep the buffers of a burst.
+#[test]
+fn memory_of_a_burst_is_released_once_it_is_written() {
+    use std::io::Read;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = Async::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap()).unwrap();
+    let (mut peer, _) = listener.accept().unwrap();
+    let outbox = Outbox::new(64 * 1024);
+    for _ in 0..2 {
+        outbox.push(|b| b.extend([b'x'; 48 * 1024]));
+        let read = std::thread::scope(|scope| {
+            let reader = scope.spawn(|| peer.read_exact(&mut [0; 48 * 1024]));
+            future::block_on(future::or(async { outbox.write_to(&stream).await.is_ok() }, async {
+                while outbox.backlog() > 0 {
+                    future::yield_now().await;
+                }
+                true
+            }));
+            reader.join().unwrap()
+        });
+        read.unwrap();
+    }
+    let mut writing = Box::pin(outbox.write_to(&stream));
+    assert!(future::block_on(future::poll_once(&mut writing)).is_none(), "nothing is left to write");
+    let capacity = outbox.queued.borrow().capacity() + outbox.writing.borrow().capacity();
+    // 1,024 descriptors make 640 connections at most, and the smallest limit of the platform is 32 MB.
+    assert!(capacity <= 8 * 1024, "{capacity} bytes are kept");
+}
+
+/// Guards against a gateway that is killed for memory because hundreds of clients ask and do not read: the budget
+/// bounds them together, not only each of them.
+#[test]
+fn peers_that_do_not_read_share_one_budget_and_a_reading_one_goes_on() {
+    use crate::buffer_share::new_buffer_budget;
+    use fawnrouter_admission::{BufferLimits, BufferOwner};
+    let limits = BufferLimits { total: 1 << 20, max_per_connection: 64 * 1024, min_per_connection: 1024 };
+    let budget = new_buffer_budget(limits);
+    let outbox = || {
+        Outbox::with_budget_share(
+            limits.max_per_connection,
+            BufferShare::of_budget(&budget, BufferOwner::Client),
+        )
+    };
+    let outboxes: Vec<Outbox> = (0..300).map(|_| outbox()).collect();
+    for _ in 0..2000 {
+        outboxes.iter().for_each(|outbox| outbox.push(|b| b.extend([b'x'; 52])));
+        let held: usize = outboxes.iter().map(Outbox::backlog).sum();
+        assert!(held <= limits.total + outboxes.len() * limits.min_per_connection, "{held} bytes");
+    }
+    let reading = outbox();
+    reading.push(|b| b.extend([b'x'; 1000]));
+    assert!(reading.is_open());
+}
