Reports of established calls have a limit of their own, shared evenly among clients

Cause: a report was kept as an established call until its switch releases it, which no switch does for a call that it does not have, and at 50,000 established calls every further one is released at once. Ruled out by the counts: memory (15 MB) and processor time.

--- a/crates/fawnrouter-node/src/calls.rs
+++ b/crates/fawnrouter-node/src/calls.rs
@@ -7,7 +7,7 @@
 
 use crate::client_connections::ClientId;
 use crate::links::LinkId;
-use crate::reported_calls;
+use crate::reported_calls::{self, ReportedCalls};
 
 /// A set-up that was written to a core switch.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +55,11 @@
 }
 
 impl EstablishedCall {
+    /// Whether its caller has reported the call, and this gateway has not set it up.
+    pub fn is_reported(&self) -> bool {
+        self.attempt.is_none()
+    }
+
     /// Whether the call was set up before its core switch started at `switch_started_at`, so that it ended with
     /// the switch's earlier process.
     pub fn was_set_up_before_start(&self, switch_started_at: Time, gateway_started_at: Time) -> bool {
@@ -80,8 +85,9 @@
 /// releases that cross, which is some seconds at some hundred calls a second.
 const MAX_REMEMBERED_CALLS: usize = 2048;
 
-/// Most established calls; a further one is released at once. Each takes some 100 bytes.
-pub(crate) const MAX_ESTABLISHED_CALLS: usize = 50_000;
+/// Most established calls that this gateway has set up; a further one is released at once. Each takes some 100
+/// bytes.
+const MAX_ESTABLISHED_CALLS: usize = 50_000;
 
 /// A map by tag with bounded size; the oldest entries are dropped first.
 #[derive(Debug)]
@@ -133,6 +139,8 @@
     pub established: BTreeMap<Tag, EstablishedCall>,
     /// Established calls at each core switch.
     pub established_by_server: BTreeMap<ServerId, BTreeSet<Tag>>,
+    /// Those of the established calls that their callers have reported.
+    pub reported: ReportedCalls,
     /// Calls that ended recently.
     pub recently_ended: RecentCalls<EndedCall>,
     /// Releases from core switches of unknown calls. After a restart of the gateway a release may arrive
@@ -161,19 +169,47 @@
 
     pub fn add_established(&mut self, tag: Tag, call: EstablishedCall) {
         self.established_by_server.entry(call.server).or_default().insert(tag);
+        if call.is_reported() {
+            self.reported.insert(call.client, tag);
+        }
         self.established.insert(tag, call);
     }
 
+    /// Whether a further call can be established through this gateway.
+    pub fn has_room_for_established(&self) -> bool {
+        self.established.len() - self.reported.len() < MAX_ESTABLISHED_CALLS
+    }
+
+    /// Another client, or the same one again, reports an established call. Returns the client before.
+    pub fn report_again(&mut self, tag: Tag, client: ClientId) -> Option<ClientId> {
+        let call = self.established.get_mut(&tag)?;
+        let before = std::mem::replace(&mut call.client, client);
+        if call.is_reported() {
+            self.reported.remove(before, tag);
+            self.reported.insert(client, tag);
+        }
+        Some(before)
+    }
+
     /// Removes an established call, and remembers the cause of its release to the caller.
     pub fn remove_established(&mut self, tag: Tag, release_cause: Option<i64>) -> Option<EstablishedCall> {
+        let call = self.forget_established(tag)?;
+        self.recently_ended.insert(tag, EndedCall { release_cause, barred_until: None });
+        Some(call)
+    }
+
+    /// Removes an established call of which nothing is to be remembered.
+    pub fn forget_established(&mut self, tag: Tag) -> Option<EstablishedCall> {
         let call = self.established.remove(&tag)?;
+        if call.is_reported() {
+            self.reported.remove(call.client, tag);
+        }
         if let Some(tags) = self.established_by_server.get_mut(&call.server) {
             tags.remove(&tag);
             if tags.is_empty() {
                 self.established_by_server.remove(&call.server);
             }
         }
-        self.recently_ended.insert(tag, EndedCall { release_cause, barred_until: None });
         Some(call)
     }
 
--- a/crates/fawnrouter-node/src/lib.rs
+++ b/crates/fawnrouter-node/src/lib.rs
@@ -8,7 +8,7 @@
 //! | `boot` | reads the configuration file and checks all of it before any of it is used |
 //! | `switch_list` | the list of core switches from `known` and from DNS responses; numbers for ids |
 //! | `list_query` | queries to the name server, and which datagrams answer them |
-//! | `reported_calls` | whether a call that its caller reports can be of the present start of its core switch |
+//! | `reported_calls` | calls that callers report: whether they can still be standing, and how many are kept |
 //! | `request` | validates set-ups and reads what they ask for |
 //! | `links` | connections to core switches: which one a set-up uses, how many, when to reconnect |
 //! | `liveness` | when a core switch's established calls count as ended although it sent no release |
--- a/crates/fawnrouter-node/src/node/callers.rs
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeSet;
 
-use fawnrouter::{CallId, Event, Outcome, OutcomeDetail};
+use fawnrouter::{CallId, Event, Outcome, OutcomeDetail, ServerId};
 use fawnrouter_jsonl::{DecodeError, Message, Tag, Verb};
 
 use super::attempts::encode_line;
 use super::{CLIENT_RECHECK_INTERVAL, FINAL_ANSWER_MARGIN, Node, Output, TEST_FAILED, TEST_PASSED, TimerKey};
-use crate::calls::{EndedCall, EstablishedCall, MAX_ESTABLISHED_CALLS, OpenCall};
+use crate::calls::{EndedCall, EstablishedCall, OpenCall};
 use crate::client_connections::{Admission, ClientId};
+use crate::reported_calls::ReportAdmission;
 use crate::request::{self, Request, cause};
 
 impl Node {
@@ -312,8 +313,7 @@
 
     /// A caller reports an established call. It expects no answer, only the release when the call ends.
     pub(super) fn restore_established(&mut self, client: ClientId, tag: Tag, switch: &str) {
-        if let Some(call) = self.calls.established.get_mut(&tag) {
-            let before = std::mem::replace(&mut call.client, client);
+        if let Some(before) = self.calls.report_again(tag, client) {
             self.client_connections.count_established(before, false);
             return self.call_established_for(client);
         }
@@ -324,16 +324,7 @@
         let released = self.calls.unknown_releases.remove(tag);
         let server = self.server_ids.get(switch).filter(|s| self.servers.contains_key(s));
         match (server, released) {
-            (Some(server), None) if self.calls.established.len() < MAX_ESTABLISHED_CALLS => {
-                self.calls.add_established(
-                    tag,
-                    EstablishedCall { client, server, attempt: None, link: None, since: self.now },
-                );
-                self.call_established_for(client);
-                self.lose_calls_of_earlier_start(server);
-                self.open_missing_links(server);
-                self.start_liveness_checks(server);
-            }
+            (Some(server), None) => self.add_reported(client, tag, server),
             // The call has ended already, or its core switch is gone.
             (_, released) => {
                 let rc = released.unwrap_or(cause::TEMPORARY_FAILURE);
@@ -342,6 +333,35 @@
         }
     }
 
+    /// Keeps a reported call, so that its caller is told of its end.
+    fn add_reported(&mut self, client: ClientId, tag: Tag, server: ServerId) {
+        match self.calls.reported.admit(client) {
+            ReportAdmission::Admitted => {}
+            ReportAdmission::AdmittedInPlaceOf(forgotten) => self.forget_reported(forgotten),
+            ReportAdmission::Full => {
+                self.counters.reports_dropped += 1;
+                let refusal = Message::new(Verb::Finish, tag).with_cause(cause::CONGESTION);
+                return self.send_to_client(client, &refusal);
+            }
+        }
+        let call = EstablishedCall { client, server, attempt: None, link: None, since: self.now };
+        self.calls.add_established(tag, call);
+        self.call_established_for(client);
+        if self.restarted_at(server).is_some_and(|at| call.was_set_up_before_start(at, self.started_at)) {
+            self.lose_established_call(server, tag);
+        }
+        self.open_missing_links(server);
+        self.start_liveness_checks(server);
+    }
+
+    /// Forgets a reported call for another one.
+    fn forget_reported(&mut self, tag: Tag) {
+        self.counters.reports_dropped += 1;
+        if let Some(call) = self.calls.forget_established(tag) {
+            self.client_connections.count_established(call.client, false);
+        }
+    }
+
     /// A caller withdraws a set-up or releases an established call.
     pub(super) fn handle_finish(&mut self, client: ClientId, message: &Message) {
         let tag = message.tag;
--- a/crates/fawnrouter-node/src/node/established.rs
+++ b/crates/fawnrouter-node/src/node/established.rs
@@ -5,7 +5,7 @@
 
 use super::attempts::encode_line;
 use super::{Node, Output, TimerKey};
-use crate::calls::{Attempt, EstablishedCall, MAX_ESTABLISHED_CALLS};
+use crate::calls::{Attempt, EstablishedCall};
 use crate::liveness::CheckResult;
 use crate::request::cause;
 
@@ -36,12 +36,17 @@
         }
     }
 
-    /// Ends the calls that were established at a core switch before its present start, if it may have had an
-    /// earlier one. Its new process does not know them and never releases them.
+    /// When the process of a core switch started, if an earlier one may have run under its id. The present one
+    /// does not know the calls of the earlier one and never releases them.
+    pub(super) fn restarted_at(&self, server: ServerId) -> Option<Time> {
+        let s = self.servers.get(&server).filter(|s| s.may_have_earlier_start)?;
+        s.listed.as_ref().and_then(|listed| listed.started)
+    }
+
+    /// Ends the calls that were established at a core switch before its present start.
     pub(super) fn lose_calls_of_earlier_start(&mut self, server: ServerId) {
-        let Some(s) = self.servers.get(&server).filter(|s| s.may_have_earlier_start) else { return };
-        if let Some(started_at) = s.listed.as_ref().and_then(|listed| listed.started) {
-            self.lose_established_calls(server, Some(started_at), "has restarted");
+        if let Some(restarted_at) = self.restarted_at(server) {
+            self.lose_established_calls(server, Some(restarted_at), "has restarted");
         }
     }
 
@@ -58,12 +63,14 @@
             return;
         }
         self.log(format!("core switch {} {reason}: {} standing calls are cut", server.0, tags.len()));
-        for tag in tags {
-            self.end_established_call(tag, cause::TEMPORARY_FAILURE);
-            // If the switch is alive after all, it must not keep a call whose caller was told that it has
-            // ended.
-            self.links.add_pending_release(server, tag, cause::TEMPORARY_FAILURE);
-        }
+        tags.into_iter().for_each(|tag| self.lose_established_call(server, tag));
+    }
+
+    /// Ends an established call that its core switch has lost.
+    pub(super) fn lose_established_call(&mut self, server: ServerId, tag: Tag) {
+        self.end_established_call(tag, cause::TEMPORARY_FAILURE);
+        // If the switch is alive after all, it must not keep a call whose caller was told that it has ended.
+        self.links.add_pending_release(server, tag, cause::TEMPORARY_FAILURE);
     }
 
     /// The core switch has answered the attempt: the call is established, unless the answer is too late.
@@ -74,7 +81,7 @@
             // Too late for the caller, which gets no further answer.
             return self.abandon_call(tag);
         }
-        if self.calls.established.len() >= MAX_ESTABLISHED_CALLS {
+        if !self.calls.has_room_for_established() {
             return self.end_open_call(tag, Message::new(Verb::Finish, tag).with_cause(cause::CONGESTION));
         }
         let Some(open) = self.remove_open_call(tag) else { return };
--- a/crates/fawnrouter-node/src/node/interface.rs
+++ b/crates/fawnrouter-node/src/node/interface.rs
@@ -255,6 +255,8 @@
     pub abandoned: u64,
     /// Invalid set-ups and messages from clients.
     pub invalid: u64,
+    /// Calls that callers reported and that were not kept, or forgotten for others.
+    pub reports_dropped: u64,
     /// Attempts sent.
     pub attempts: u64,
     /// Established calls lost by a core switch.
--- a/crates/fawnrouterd/src/node/gateway.rs
+++ b/crates/fawnrouterd/src/node/gateway.rs
@@ -334,6 +334,7 @@
             failed = c.failed,
             lapsed = c.abandoned,
             invalid = c.invalid,
+            reports_dropped = c.reports_dropped,
             attempts = c.attempts,
             cut = c.calls_lost,
             spoilt = c.invalid_responses,
