Calls that a successor at an old address has accepted are handed over to it

A core switch died, another took its address, and the list named it 1.1 s after its start. A caller whose call the new one had accepted meanwhile was told that it is over although it stood; one whose set-up was on its way then was answered, told as over 2.5 s later, and its call was never released at the switch.

Cause: calls and connections belonged to the id under which they were begun; when it left the list and its address was another's, all of them counted as ended. What the gateway can know: a connection that came up after the successor's start was accepted by it. That set-ups reach it before the list names it is allowed: an event counts as told once an answer holding it is sent, and the grace follows.

Change: such connections, and the calls whose set-ups they carried, are handed over; all else at the old switch has ended, as before. A successor that claims a start from before the old one was listed gets nothing.

calls_that_the_successor_has_accepted_stand_and_those_of_the_old_switch_are_over failed before. Tests of fawnrouter-node pass.

--- a/crates/fawnrouter-node/src/calls.rs
+++ b/crates/fawnrouter-node/src/calls.rs
@@ -59,7 +59,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EstablishedCall {
     pub client: ClientId,
+    /// The core switch that holds the call.
     pub server: ServerId,
+    /// The core switch that the controller has chosen. It differs where another one has taken its address.
+    pub issued_to: ServerId,
     /// The attempt that established the call; `None`: reported by its caller.
     pub attempt: Option<AttemptNo>,
     /// The connection to the core switch that carried the set-up; `None`: reported by its caller.
@@ -202,6 +205,28 @@
         self.established.insert(tag, call);
     }
 
+    /// Hands the calls whose set-ups went on these connections over to another core switch.
+    pub fn hand_over(&mut self, from: ServerId, to: ServerId, links: &[LinkId]) {
+        for tag in self.established_by_server.get(&from).cloned().unwrap_or_default() {
+            let call = self.established.get_mut(&tag);
+            let Some(call) = call.filter(|call| call.link.is_some_and(|link| links.contains(&link))) else {
+                continue;
+            };
+            call.server = to;
+            self.remove_from_server(from, tag);
+            self.established_by_server.entry(to).or_default().insert(tag);
+        }
+    }
+
+    fn remove_from_server(&mut self, server: ServerId, tag: Tag) {
+        if let Some(tags) = self.established_by_server.get_mut(&server) {
+            tags.remove(&tag);
+            if tags.is_empty() {
+                self.established_by_server.remove(&server);
+            }
+        }
+    }
+
     /// Whether a further call can be established through this gateway.
     pub fn has_room_for_established(&self) -> bool {
         self.established.len() - self.reported.len() < MAX_ESTABLISHED_CALLS
@@ -231,12 +256,7 @@
         if call.is_reported() {
             self.reported.remove(call.client, tag);
         }
-        if let Some(tags) = self.established_by_server.get_mut(&call.server) {
-            tags.remove(&tag);
-            if tags.is_empty() {
-                self.established_by_server.remove(&call.server);
-            }
-        }
+        self.remove_from_server(call.server, tag);
         Some(call)
     }
 
--- a/crates/fawnrouter-node/src/link.rs
+++ b/crates/fawnrouter-node/src/link.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Link {
     pub server: ServerId,
     pub up: bool,
+    /// When the connection came up: the process that accepted it is the one that holds it open.
+    pub connected_at: Time,
     /// Set-ups sent on this connection that are still open.
     pub open_set_ups: BTreeSet<Tag>,
     /// Established calls whose set-up was sent on this connection: the switch releases them on it.
@@ -47,6 +49,7 @@
         Self {
             server,
             up: false,
+            connected_at: now,
             open_set_ups: BTreeSet::new(),
             established_calls: 0,
             health: LinkHealth::new(now),
@@ -58,7 +61,7 @@
 
     /// Registers that the connection is up.
     pub fn connected(&mut self, now: Time) {
-        (self.up, self.last_used) = (true, now);
+        (self.up, self.connected_at, self.last_used) = (true, now, now);
         self.health.use_begins(now);
     }
 
--- a/crates/fawnrouter-node/src/links.rs
+++ b/crates/fawnrouter-node/src/links.rs
@@ -332,6 +332,25 @@
         link.health.check(now, in_use, answered_elsewhere)
     }
 
+    /// Hands the connections that a core switch's successor has accepted over to it: those to its address that
+    /// came up after its start. Returns them.
+    pub fn hand_over(&mut self, from: ServerId, to: ServerId, started_at: Time) -> Vec<LinkId> {
+        let accepted = self.links_to(from).filter(|(_, link)| link.up && link.connected_at > started_at);
+        let accepted: Vec<LinkId> = accepted.map(|(id, _)| id).collect();
+        for id in &accepted {
+            if let Some(link) = self.links.get_mut(id) {
+                link.server = to;
+            }
+            if let Some(switch) = self.switches.get_mut(&from) {
+                switch.links.remove(id);
+            }
+            if let Some(switch) = self.switches.get_mut(&to) {
+                switch.links.insert(*id);
+            }
+        }
+        accepted
+    }
+
     /// Whether a release waits for a connection to any core switch.
     pub fn has_pending_releases(&self) -> bool {
         self.switches.values().any(|s| !s.pending_releases.is_empty())
--- a/crates/fawnrouter-node/src/node.rs
+++ b/crates/fawnrouter-node/src/node.rs
@@ -79,6 +79,8 @@
 struct Server {
     id: String,
     listed: Option<ListedSwitch>,
+    /// When this gateway saw it listed for the first time.
+    first_listed_at: Time,
     /// Whether a process may have run under this id before its present start. Not so if this gateway has seen
     /// the id listed for the first time with this start.
     may_have_earlier_start: bool,
--- a/crates/fawnrouter-node/src/node/callers.rs
+++ b/crates/fawnrouter-node/src/node/callers.rs
@@ -343,7 +343,8 @@
                 return self.send_to_client(client, &refusal);
             }
         }
-        let call = EstablishedCall { client, server, attempt: None, link: None, since: self.now };
+        let call =
+            EstablishedCall { client, server, issued_to: server, attempt: None, link: None, since: self.now };
         self.calls.add_established(tag, call);
         self.call_established_for(client);
         if self.restarted_at(server).is_some_and(|at| call.was_set_up_before_start(at, self.started_at)) {
--- a/crates/fawnrouter-node/src/node/established.rs
+++ b/crates/fawnrouter-node/src/node/established.rs
@@ -85,10 +85,12 @@
             return self.end_open_call(tag, Message::new(Verb::Finish, tag).with_cause(cause::CONGESTION));
         }
         let Some(open) = self.remove_open_call(tag) else { return };
+        let mut server = attempt.server;
         if let Some(sent) = attempt.sent {
             if let Some(link) = self.links.links.get_mut(&sent.link) {
                 link.end_attempt(now, tag, true, false);
                 link.established_calls += 1;
+                server = link.server;
             }
             self.events.push_back(Event::Established {
                 call: CallId(tag.0),
@@ -100,7 +102,8 @@
         self.counters.established += 1;
         let call = EstablishedCall {
             client: open.client,
-            server: attempt.server,
+            server,
+            issued_to: attempt.server,
             attempt: Some(attempt.no),
             link: attempt.sent.map(|sent| sent.link),
             since: now,
@@ -112,7 +115,7 @@
             self.outputs.push(Output::ToCaller { client, tag, line });
         }
         self.call_established_for(open.client);
-        self.start_liveness_checks(attempt.server);
+        self.start_liveness_checks(server);
     }
 
     /// Starts the periodic liveness checks of a switch that now has an established call, the first of them at
@@ -143,7 +146,7 @@
             self.events.push_back(Event::Closed {
                 call: CallId(tag.0),
                 attempt,
-                server: call.server,
+                server: call.issued_to,
                 done: true,
                 outcome,
                 detail: OutcomeDetail::None,
--- a/crates/fawnrouter-node/src/node/switch_list.rs
+++ b/crates/fawnrouter-node/src/node/switch_list.rs
@@ -1,9 +1,9 @@
 //! Changes of the list of core switches.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use fawnrouter::{Event, ListKind, Outcome, OutcomeDetail, ServerId};
+use fawnrouter::{Event, ListKind, Outcome, OutcomeDetail, ServerId, Time};
 
 use super::{Node, Output, Server, TimerKey};
 use crate::links::{LinkId, LinkNeed};
@@ -59,6 +59,7 @@
             let s = self.servers.entry(server).or_insert_with(|| Server {
                 id: id.clone(),
                 listed: None,
+                first_listed_at: self.now,
                 may_have_earlier_start: is_first_list || was_listed,
                 liveness: Liveness::new(self.now),
             });
@@ -80,19 +81,7 @@
         let gone: BTreeSet<ServerId> = self.servers.keys().copied().filter(|s| !seen.contains(s)).collect();
         self.events.push_back(Event::List { kind, entries });
         self.run_controller();
-        // A new core switch listens at the address of one that is gone, so nothing there belongs to the old
-        // one. Without this check its answers and connections would count as evidence that the old one is
-        // alive.
-        let addresses: BTreeSet<SocketAddr> = pool.switches.values().map(|l| l.address).collect();
-        for server in gone.iter().copied() {
-            if self.links.switches.get(&server).is_some_and(|switch| addresses.contains(&switch.address)) {
-                self.lose_established_calls(
-                    server,
-                    None,
-                    "is gone and its address belongs to another switch",
-                );
-            }
-        }
+        self.hand_over_to_successors(pool, &gone);
         for server in self.servers.keys().copied().collect::<Vec<_>>() {
             if gone.contains(&server)
                 && let Some(s) = self.servers.get_mut(&server)
@@ -122,4 +111,35 @@
             self.check_liveness(server);
         }
     }
+
+    /// A new core switch may listen at the address of one that is gone, and have accepted connections and calls
+    /// there before the list named it: those are its own. Everything else at the old one has ended. Without this
+    /// the new one's answers and connections would count as evidence that the old one is alive, and callers of
+    /// its calls would be told that they are over.
+    fn hand_over_to_successors(&mut self, pool: &Pool, gone: &BTreeSet<ServerId>) {
+        let successors: BTreeMap<SocketAddr, (&String, Option<Time>)> =
+            pool.switches.iter().map(|(id, listed)| (listed.address, (id, listed.started))).collect();
+        for from in gone.iter().copied() {
+            let address = self.links.switches.get(&from).map(|switch| switch.address);
+            let Some((id, started)) = address.and_then(|address| successors.get(&address)) else { continue };
+            // One that had started before could not be listening while the old one was.
+            let first_listed_at = self.servers.get(&from).map(|s| s.first_listed_at);
+            let started_since = started.filter(|at| first_listed_at.is_some_and(|listed_at| *at > listed_at));
+            if let (Some(to), Some(started_at)) = (self.server_ids.get(id), started_since) {
+                self.hand_over(from, to, started_at);
+            }
+            self.lose_established_calls(from, None, "is gone and its address belongs to another switch");
+        }
+    }
+
+    /// Hands what a core switch has accepted since its start over to it.
+    fn hand_over(&mut self, from: ServerId, to: ServerId, started_at: Time) {
+        let links = self.links.hand_over(from, to, started_at);
+        self.calls.hand_over(from, to, &links);
+        // The controller has chosen another switch for these, so what is not written does not go there.
+        self.outputs.extend(links.iter().map(|link| Output::RecallSetUps { link: *link }));
+        if self.calls.has_established_at(to) {
+            self.start_liveness_checks(to);
+        }
+    }
 }
